--- /dev/null
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/DocumentContent.kt
@@ -0,0 +1,11 @@
+package org.gypsumroute.api
+
+/** The exact bytes of a document; treated as immutable. */
+class DocumentContent(val bytes: ByteArray) {
+    override fun equals(other: Any?): Boolean =
+        other is DocumentContent && bytes.contentEquals(other.bytes)
+
+    override fun hashCode(): Int = bytes.contentHashCode()
+
+    override fun toString(): String = "${bytes.size} bytes"
+}
--- /dev/null
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/DocumentDigest.kt
@@ -0,0 +1,7 @@
+package org.gypsumroute.api
+
+/** SHA-256 of a document's bytes in lowercase hexadecimal. */
+@JvmInline
+value class DocumentDigest(val value: String) {
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/EngineState.kt
@@ -0,0 +1,12 @@
+package org.gypsumroute.api
+
+/** An engine's own report about itself. */
+data class EngineState(
+    val incarnation: IncarnationId,
+    val memory: Tokens,
+    val usedMemory: Tokens,
+    val streams: Map<LeaseId, Tokens>,
+    val handles: Map<HandleId, Tokens>,
+    val loaded: EngineModel?,
+    val highestFencing: FencingNumber
+)
--- /dev/null
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/HandleId.kt
@@ -0,0 +1,7 @@
+package org.gypsumroute.api
+
+/** Names a key-value cache that an engine exported and still holds. */
+@JvmInline
+value class HandleId(val value: String) {
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
@@ -0,0 +1,14 @@
+package org.gypsumroute.api
+
+/** A metric with its Prometheus name, which ends in its unit. */
+enum class Metric(val prometheusName: String, val description: String) {
+    REQUESTS("gypsumroute_requests_total", "Requests ended, by outcome"),
+    FIRST_TOKEN("gypsumroute_first_token_seconds", "Time from arrival to first token"),
+    REQUEST_DURATION("gypsumroute_request_duration_seconds", "Time from arrival to end"),
+    RETRIES("gypsumroute_retries_total", "Attempts after the first"),
+    GRANTS("gypsumroute_grants_total", "Answers to grant requests, by outcome"),
+    QUEUE_WAIT("gypsumroute_queue_wait_seconds", "Time from grant request to grant"),
+    ORPHANS("gypsumroute_orphans_total", "Streams and handles found without a lease"),
+    PAUSES("gypsumroute_pauses_total", "Pauses of the process that were noticed"),
+    DOCUMENTS("gypsumroute_documents_accepted_total", "Service documents accepted")
+}
--- /dev/null
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/WorkOrder.kt
@@ -0,0 +1,23 @@
+package org.gypsumroute.api
+
+import kotlin.time.Duration
+
+/**
+ * What an entry asks an endpoint to do under one lease. [remaining] is the time left to the
+ * caller's deadline when the message was sent.
+ */
+data class WorkOrder(
+    val lease: LeaseId,
+    val request: RequestId,
+    val service: ServiceId,
+    val organisation: OrganisationId,
+    val lengthClass: LengthClassName,
+    val kind: WorkKind,
+    val promptTokens: Tokens,
+    val outputLimit: Tokens,
+    val remaining: Duration,
+    val prefix: PrefixDigest? = null,
+    val group: GroupShare? = null,
+    val actionKey: ActionKey? = null,
+    val path: String? = null
+)
--- /dev/null
+++ b/gypsumroute-cli/src/main/shell/launcher.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Launcher at the head of the executable file; the jar follows. Replaces itself by the JVM, so
+# that signals reach it. The memory settings suit an agent; entries raise the heap by
+# GYPSUMROUTE_JAVA_OPTIONS.
+exec java ${GYPSUMROUTE_JAVA_OPTIONS:--Xmx64m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss512k} \
+    -jar "$0" "$@"
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AgentState.kt
@@ -0,0 +1,4 @@
+package org.gypsumroute.core
+
+/** State of an agent. */
+data class AgentState(override val common: CommonState) : NodeState
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ClockReducer.kt
@@ -0,0 +1,35 @@
+package org.gypsumroute.core
+
+import kotlin.time.Duration
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Metric
+import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent.ClockRead
+import org.gypsumroute.api.Step
+
+/**
+ * Takes over a clock reading.
+ *
+ * The heartbeat timer bounds the gap between two readings, so a longer gap means that the process
+ * was paused (stopped, starved or suspended).
+ */
+internal fun reduceClock(common: CommonState, reading: ClockRead): Step<CommonState> {
+    val gap = reading.at - common.now
+    val longestIdle = common.timings.activeHeartbeat + common.timings.pauseThreshold
+    val pause = if (common.startupOver && gap > longestIdle) gap else Duration.ZERO
+    val next = common.copy(now = reading.at, entropy = reading.entropy, pause = pause)
+    return if (pause >
+        Duration.ZERO
+    ) {
+        Step(restartSilence(next), pauseEffects(pause))
+    } else {
+        next.step()
+    }
+}
+
+private fun pauseEffects(pause: Duration): List<Effect> = listOf(
+    logEffect(LogEvent.PROCESS_PAUSED, "pause" to pause),
+    RuntimeEffect.Count(Metric.PAUSES, MetricLabels())
+)
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/CommonReducer.kt
@@ -0,0 +1,98 @@
+/*
+ * Events that both roles treat alike.
+ */
+package org.gypsumroute.core
+
+import org.gypsumroute.api.Event
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.PeerEvent
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.PlatformEffect
+import org.gypsumroute.api.PlatformEvent
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+
+/** Applies an event to the state that both roles share; role reducers call it first. */
+internal fun reduceCommon(common: CommonState, event: Event): Step<CommonState> = when (event) {
+    is RuntimeEvent.ClockRead -> reduceClock(common, event)
+    is RuntimeEvent.Started -> reduceStarted(common)
+    is RuntimeEvent.DrainRequested -> reduceDrainRequested(common)
+    is RuntimeEvent.TimerFired -> reduceCommonTimer(common, event.timer)
+    is PlatformEvent.DocumentRead -> reduceDocumentRead(common, event)
+    is PlatformEvent.ConfigurationReadEnded -> reduceConfigurationReadEnded(common, event.succeeded)
+    is PlatformEvent.HostsRead -> reduceHostsRead(common, event)
+    is PlatformEvent.HostsUnavailable -> reduceHostsUnavailable(common, event)
+    is PeerEvent.Connected -> reducePeerConnected(common, event)
+    is PeerEvent.Disconnected -> reducePeerDisconnected(common, event)
+    is PeerEvent.Received -> reduceCommonMessage(common, event)
+    else -> common.step()
+}
+
+private fun reduceStarted(common: CommonState): Step<CommonState> = common.step(
+    logEffect(
+        LogEvent.PROCESS_STARTED,
+        "host" to common.node.host,
+        "role" to common.node.role,
+        "incarnation" to common.node.incarnation
+    ),
+    PlatformEffect.ReadHosts,
+    PlatformEffect.ReadDocuments,
+    RuntimeEffect.SetTimer(TimerId.Startup, common.timings.startupWait),
+    RuntimeEffect.SetTimer(TimerId.Heartbeat, common.timings.activeHeartbeat)
+)
+
+private fun reduceDrainRequested(common: CommonState): Step<CommonState> =
+    if (common.drain != DrainPhase.SERVING) {
+        common.step()
+    } else {
+        common.copy(drain = DrainPhase.DRAINING, ready = false).step(
+            logEffect(LogEvent.DRAIN_STARTED),
+            RuntimeEffect.SetReady(false)
+        )
+    }
+
+private fun reduceCommonTimer(common: CommonState, timer: TimerId): Step<CommonState> =
+    when (timer) {
+        is TimerId.Startup -> common.copy(startupOver = true).step()
+
+        is TimerId.DocumentRead -> reduceDocumentReadTimer(common)
+
+        is TimerId.HostListRead -> common.step(PlatformEffect.ReadHosts)
+
+        is TimerId.PeerConnect -> reducePeerConnectTimer(common, timer.peer)
+
+        is TimerId.Heartbeat -> common.step(
+            RuntimeEffect.SetTimer(TimerId.Heartbeat, common.timings.activeHeartbeat)
+        )
+
+        else -> common.step()
+    }
+
+private fun reduceCommonMessage(common: CommonState, event: PeerEvent.Received): Step<CommonState> {
+    val message = event.message
+    val summary = when (message) {
+        is PeerMessage.Heartbeat -> message.summary
+        is PeerMessage.GrantIssued -> message.summary
+        is PeerMessage.GrantRefused -> message.summary
+        else -> null
+    }
+    val heard = reducePeerHeard(common, event, summary)
+    return when (message) {
+        is PeerMessage.Heartbeat -> reduceDocumentsHash(heard, event.peer, message.documentsHash)
+        is PeerMessage.DocumentVersions -> reducePeerStamps(heard, event.peer, message.stamps)
+        is PeerMessage.DocumentRequest -> reduceDocumentRequest(heard, event.peer, message.service)
+        else -> heard.step()
+    }
+}
+
+/** Moves to ready when documents are known, or after the start-up wait. */
+internal fun updateReadiness(common: CommonState): Step<CommonState> {
+    val documented = common.documents.accepted.isNotEmpty()
+    val ready = common.drain == DrainPhase.SERVING && common.startupOver && documented
+    if (ready == common.ready) return common.step()
+    val next = common.copy(ready = ready)
+    val effect = RuntimeEffect.SetReady(ready)
+    return if (ready) next.step(logEffect(LogEvent.PROCESS_READY), effect) else next.step(effect)
+}
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentsReducer.kt
@@ -0,0 +1,165 @@
+/*
+ * Spreads service documents and decides which one is in force.
+ *
+ * Acceptance depends on nothing but the documents themselves: the highest stamp wins and is kept,
+ * so processes that saw the same documents in any order hold the same ones. A few watchers per
+ * data centre follow the configuration service; all others learn from their peers.
+ */
+package org.gypsumroute.core
+
+import arrow.core.Either
+import kotlin.time.Duration
+import org.gypsumroute.api.DocumentFault
+import org.gypsumroute.api.DocumentStamp
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EncodedDocument
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Metric
+import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.PeerEffect
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.PlatformEffect
+import org.gypsumroute.api.PlatformEvent
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+
+internal fun reduceDocumentRead(
+    common: CommonState,
+    event: PlatformEvent.DocumentRead
+): Step<CommonState> = when (val reading = event.reading) {
+    is Either.Left -> common.step(rejectedLog(event.from, reading.value.first()))
+    is Either.Right -> offerDocument(common, event.from, reading.value)
+}
+
+private fun offerDocument(
+    common: CommonState,
+    from: HostId?,
+    offered: EncodedDocument
+): Step<CommonState> {
+    val service = offered.document.service
+    val known = common.documents.accepted[service]
+    return when {
+        known == null || offered.stamp > known.stamp -> acceptDocument(common, offered)
+
+        offered.stamp == known.stamp -> common.step()
+
+        else -> common.step(
+            logEffect(
+                LogEvent.DOCUMENT_STALE,
+                "service" to service,
+                "version" to offered.document.version,
+                "accepted" to known.document.version,
+                "from" to (from ?: CONFIGURATION_SERVICE)
+            )
+        )
+    }
+}
+
+private fun acceptDocument(common: CommonState, document: EncodedDocument): Step<CommonState> {
+    val service = document.document.service
+    val accepted = common.documents.accepted.put(service, document)
+    val replacedHash = common.documents.accepted[service]?.let { stampHash(service, it.stamp) } ?: 0
+    val hash = common.documents.hash xor replacedHash xor stampHash(service, document.stamp)
+    val next = common.copy(documents = common.documents.copy(accepted = accepted, hash = hash))
+    val announcement = PeerMessage.DocumentVersions(mapOf(service to document.stamp))
+    val effects = listOf(
+        logEffect(
+            LogEvent.DOCUMENT_ACCEPTED,
+            "service" to service,
+            "version" to document.document.version,
+            "digest" to document.digest
+        ),
+        RuntimeEffect.Count(Metric.DOCUMENTS, MetricLabels(service = service))
+    )
+    return Step(next, effects + sendToAll(next, announcement))
+}
+
+/** The peer's stamps: fetches what is newer there, and offers nothing by itself. */
+internal fun reducePeerStamps(
+    common: CommonState,
+    from: HostId,
+    stamps: Map<ServiceId, DocumentStamp>
+): Step<CommonState> {
+    val newer = stamps.filter { (service, stamp) ->
+        val known = common.documents.accepted[service]
+        known == null || stamp > known.stamp
+    }
+    val effects = newer.keys.mapNotNull { sendTo(common, from, PeerMessage.DocumentRequest(it)) }
+    return Step(common, effects)
+}
+
+internal fun reduceDocumentRequest(
+    common: CommonState,
+    from: HostId,
+    service: ServiceId
+): Step<CommonState> {
+    val known = common.documents.accepted[service] ?: return common.step()
+    val offer = PeerMessage.DocumentOffer(service, known.content)
+    return Step(common, listOfNotNull(sendTo(common, from, offer)))
+}
+
+/** A peer's heartbeat with another hash: tells the peer what this process holds. */
+internal fun reduceDocumentsHash(common: CommonState, from: HostId, hash: Long): Step<CommonState> {
+    if (hash == common.documents.hash) return common.step()
+    val stamps = PeerMessage.DocumentVersions(common.documents.stamps())
+    return Step(common, listOfNotNull(sendTo(common, from, stamps)))
+}
+
+/** A read or watch ended: watchers wait for the next change, others read only when alone. */
+internal fun reduceConfigurationReadEnded(
+    common: CommonState,
+    succeeded: Boolean
+): Step<CommonState> {
+    val failure = logEffect(LogEvent.CONFIGURATION_UNAVAILABLE)
+    val idle = common.copy(documents = common.documents.copy(watching = false))
+    return when {
+        !succeeded -> idle.step(failure, readTimer(common, common.timings.documentBackoff))
+        isDocumentWatcher(common) -> startWatch(idle)
+        else -> idle.step(readTimer(common, common.timings.documentReadAlone))
+    }
+}
+
+internal fun reduceDocumentReadTimer(common: CommonState): Step<CommonState> = when {
+    common.documents.watching -> common.step()
+
+    isDocumentWatcher(common) || common.peers.values.none { it.connection != null } ->
+        common.step(PlatformEffect.ReadDocuments)
+
+    else -> common.step(readTimer(common, common.timings.documentReadAlone))
+}
+
+private fun startWatch(common: CommonState): Step<CommonState> =
+    common.copy(documents = common.documents.copy(watching = true))
+        .step(PlatformEffect.WatchDocuments)
+
+/** Whether this process is among its data centre's few readers of the configuration service. */
+internal fun isDocumentWatcher(common: CommonState): Boolean {
+    val own = common.node.host.value
+    val ownWeight = rendezvousWeight(WATCHER_KEY, own)
+    val ahead = common.hosts.values.count { record ->
+        record.dataCentre == common.node.dataCentre && !record.leaving &&
+            rendezvousWeight(WATCHER_KEY, record.host.value) > ownWeight
+    }
+    return ahead < common.timings.documentWatchers
+}
+
+// Spreads the reads of processes that lost the service at the same moment over one interval.
+private fun readTimer(common: CommonState, interval: Duration): Effect =
+    RuntimeEffect.SetTimer(TimerId.DocumentRead, interval * (1 + unitInterval(common.entropy)))
+
+private fun rejectedLog(from: HostId?, fault: DocumentFault): Effect = logEffect(
+    LogEvent.DOCUMENT_REJECTED,
+    "from" to (from ?: CONFIGURATION_SERVICE),
+    "line" to fault.line,
+    "field" to fault.field,
+    "problem" to fault.problem
+)
+
+private fun stampHash(service: ServiceId, stamp: DocumentStamp): Long =
+    stableHash("${service.value}/${stamp.version}/${stamp.digest}")
+
+private const val CONFIGURATION_SERVICE = "configuration service"
+private const val WATCHER_KEY = "document-watcher"
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryState.kt
@@ -0,0 +1,4 @@
+package org.gypsumroute.core
+
+/** State of an entry. */
+data class EntryState(override val common: CommonState) : NodeState
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PeerLink.kt
@@ -0,0 +1,26 @@
+package org.gypsumroute.core
+
+import org.gypsumroute.api.ConnectionId
+import org.gypsumroute.api.EndpointSummary
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.Moment
+
+/**
+ * What this process knows about its connection to one peer.
+ *
+ * [connection] is null while there is none. [unansweredSince] is the time of the first heartbeat
+ * that was not answered yet. [silentSince] is set from the first sign of trouble
+ * (missed heartbeats or a closed connection) until the peer is heard on a connection again.
+ */
+data class PeerLink(
+    val peer: HostId,
+    val connection: ConnectionId? = null,
+    val incarnation: IncarnationId? = null,
+    val summary: EndpointSummary? = null,
+    val lastSent: Moment = Moment.START,
+    val unansweredSince: Moment? = null,
+    val connecting: Boolean = false,
+    val failedAttempts: Int = 0,
+    val silentSince: Moment? = null
+)
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PeersReducer.kt
@@ -0,0 +1,228 @@
+/*
+ * Connections between entries and agents.
+ *
+ * An entry opens one connection to each endpoint of its subset and sends heartbeats; the agent
+ * answers each. A connection that goes silent is replaced by a fresh one before the peer is
+ * judged, since connections can die while new ones work.
+ */
+package org.gypsumroute.core
+
+import kotlin.time.Duration
+import kotlinx.collections.immutable.mutate
+import org.gypsumroute.api.ConnectionId
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EndpointSummary
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.HostRecord
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.PeerEffect
+import org.gypsumroute.api.PeerEvent
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+
+internal fun reducePeerConnected(
+    common: CommonState,
+    event: PeerEvent.Connected
+): Step<CommonState> {
+    val before = common.peers[event.peer]
+    val link = PeerLink(
+        peer = event.peer,
+        connection = event.connection,
+        incarnation = event.incarnation,
+        summary = before?.summary.takeIf { before?.incarnation == event.incarnation },
+        lastSent = common.now
+    )
+    val obsolete = before?.connection?.let { PeerEffect.Disconnect(it) }
+    val next = common.withLink(link)
+    val stamps = PeerMessage.DocumentVersions(common.documents.stamps())
+    return Step(
+        next,
+        listOfNotNull(
+            obsolete,
+            RuntimeEffect.CancelTimer(TimerId.PeerSilence(event.peer)),
+            logEffect(LogEvent.PEER_CONNECTED, "peer" to event.peer),
+            sendTo(next, event.peer, stamps)
+        )
+    )
+}
+
+internal fun reducePeerDisconnected(
+    common: CommonState,
+    event: PeerEvent.Disconnected
+): Step<CommonState> {
+    val link = common.peers[event.peer] ?: return common.step()
+    val obsolete = event.connection != null && event.connection != link.connection
+    return when {
+        obsolete -> common.step()
+
+        common.node.role == NodeRole.AGENT ->
+            common.copy(peers = common.peers.remove(event.peer)).step(disconnectedLog(event))
+
+        else -> retryConnection(common, link, event)
+    }
+}
+
+private fun retryConnection(
+    common: CommonState,
+    link: PeerLink,
+    event: PeerEvent.Disconnected
+): Step<CommonState> {
+    val attempts = link.failedAttempts + 1
+    val lost = link.copy(
+        connection = if (event.connection == null) link.connection else null,
+        connecting = false,
+        failedAttempts = attempts,
+        silentSince = link.silentSince ?: common.now
+    )
+    val effects = listOfNotNull(
+        disconnectedLog(event),
+        RuntimeEffect.SetTimer(TimerId.PeerConnect(link.peer), connectBackoff(common, attempts)),
+        startSilenceTimer(common, link)
+    )
+    return Step(common.withLink(lost), effects)
+}
+
+/** Notes that the peer is alive on its current connection, and takes over its summary. */
+internal fun reducePeerHeard(
+    common: CommonState,
+    event: PeerEvent.Received,
+    summary: EndpointSummary?
+): CommonState {
+    val link = common.peers[event.peer] ?: return common
+    if (link.connection != event.connection) return common
+    return common.withLink(
+        link.copy(
+            unansweredSince = null,
+            silentSince = null,
+            failedAttempts = 0,
+            summary = summary ?: link.summary
+        )
+    )
+}
+
+/**
+ * Periodic work of an entry: heartbeats, noticing silence, and opening missing connections.
+ * [active] are the peers at which this entry has leases.
+ */
+internal fun reducePeerTick(common: CommonState, active: Set<HostId>): Step<CommonState> =
+    common.step().thenEach(common.peers.values) { state, link ->
+        if (link.connection == null) state.step() else tickLink(state, link, link.peer in active)
+    }
+
+private fun tickLink(common: CommonState, link: PeerLink, active: Boolean): Step<CommonState> {
+    val connection = link.connection ?: return common.step()
+    val interval =
+        if (active) common.timings.activeHeartbeat else common.timings.idleHeartbeat
+    val longestSilence = common.timings.activeHeartbeat * common.timings.missedHeartbeats
+    val silent = link.unansweredSince?.let { common.now - it > longestSilence } ?: false
+    return when {
+        silent && !link.connecting -> replaceConnection(common, link)
+        common.now - link.lastSent >= interval -> sendHeartbeat(common, link, connection)
+        else -> common.step()
+    }
+}
+
+private fun sendHeartbeat(
+    common: CommonState,
+    link: PeerLink,
+    connection: ConnectionId
+): Step<CommonState> {
+    val sent = link.copy(
+        lastSent = common.now,
+        unansweredSince = link.unansweredSince ?: common.now
+    )
+    return common.withLink(sent)
+        .step(PeerEffect.Send(connection, PeerMessage.Heartbeat(common.documents.hash, null)))
+}
+
+/** After a pause of this process, answers may wait unread: counts silence from now on only. */
+internal fun restartSilence(common: CommonState): CommonState {
+    val peers = common.peers.mutate { links ->
+        for ((peer, link) in common.peers) {
+            if (link.unansweredSince != null) links[peer] = link.copy(unansweredSince = common.now)
+        }
+    }
+    return common.copy(peers = peers)
+}
+
+private fun replaceConnection(common: CommonState, link: PeerLink): Step<CommonState> {
+    val record = common.hosts[link.peer] ?: return common.step()
+    val silent = link.copy(connecting = true, silentSince = link.silentSince ?: common.now)
+    val effects = listOfNotNull(
+        logEffect(LogEvent.PEER_SILENT, "peer" to link.peer),
+        PeerEffect.Connect(record),
+        startSilenceTimer(common, link)
+    )
+    return Step(common.withLink(silent), effects)
+}
+
+/** Opens connections to chosen endpoints and forgets links to hosts that are gone. */
+internal fun reconcilePeers(common: CommonState): Step<CommonState> {
+    val wanted = chooseEndpoints(common)
+    val missing = wanted.filter { it.host !in common.peers }
+    val dropped = common.peers.values.filter { it.connection == null && it.peer !in common.hosts }
+    val kept = dropped.fold(common.peers) { peers, link -> peers.remove(link.peer) }
+    return common.copy(peers = kept).step().thenEach(missing) { state, record ->
+        state.withLink(PeerLink(peer = record.host, connecting = true))
+            .step(PeerEffect.Connect(record))
+    }
+}
+
+internal fun reducePeerConnectTimer(common: CommonState, peer: HostId): Step<CommonState> {
+    val link = common.peers[peer] ?: return common.step()
+    val record = common.hosts[peer]
+    return when {
+        record == null && link.connection == null ->
+            common.copy(peers = common.peers.remove(peer)).step()
+
+        record == null || link.connecting -> common.step()
+
+        link.connection != null && link.silentSince == null -> common.step()
+
+        else -> common.withLink(link.copy(connecting = true)).step(PeerEffect.Connect(record))
+    }
+}
+
+/**
+ * The endpoints that this entry connects to: all of them in a small fleet, otherwise a subset by
+ * rendezvous hashing, taken in equal parts from each data centre and pool.
+ */
+internal fun chooseEndpoints(common: CommonState): List<HostRecord> {
+    val agents = common.hosts.values.filter { it.role == NodeRole.AGENT && !it.leaving }
+    if (agents.size <= common.timings.connectedEndpoints) return agents
+    val rings = agents.groupBy { it.dataCentre to it.pool }.values.map { ring ->
+        ring.sortedByDescending { rendezvousWeight(common.node.host.value, it.host.value) }
+    }
+    val longest = rings.maxOf { it.size }
+    return (0 until longest).asSequence()
+        .flatMap { rank -> rings.mapNotNull { it.getOrNull(rank) } }
+        .take(common.timings.connectedEndpoints)
+        .toList()
+}
+
+internal fun CommonState.withLink(link: PeerLink): CommonState =
+    copy(peers = peers.put(link.peer, link))
+
+private fun startSilenceTimer(common: CommonState, link: PeerLink): Effect? =
+    if (link.silentSince != null) {
+        null
+    } else {
+        RuntimeEffect.SetTimer(TimerId.PeerSilence(link.peer), common.timings.resumeTime)
+    }
+
+private fun connectBackoff(common: CommonState, attempts: Int): Duration {
+    val doubled = common.timings.connectBackoff * (1 shl minOf(attempts - 1, LARGEST_DOUBLING))
+    val limited = minOf(doubled, common.timings.longestConnectBackoff)
+    return limited * (1 + unitInterval(common.entropy)) / 2
+}
+
+private fun disconnectedLog(event: PeerEvent.Disconnected): Effect = logEffect(
+    LogEvent.PEER_DISCONNECTED,
+    "peer" to event.peer,
+    "cause" to event.cause
+)
+
+private const val LARGEST_DOUBLING = 10
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/TestStates.kt
@@ -0,0 +1,113 @@
+/*
+ * States and documents that several tests start from.
+ */
+package org.gypsumroute.core
+
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.ActionRule
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.DeadlineRule
+import org.gypsumroute.api.DocumentContent
+import org.gypsumroute.api.DocumentDigest
+import org.gypsumroute.api.DocumentVersion
+import org.gypsumroute.api.EncodedDocument
+import org.gypsumroute.api.EngineModel
+import org.gypsumroute.api.GroupRule
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.LengthClass
+import org.gypsumroute.api.LengthClassName
+import org.gypsumroute.api.LimitRule
+import org.gypsumroute.api.ModelId
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.OrganisationId
+import org.gypsumroute.api.OrganisationRule
+import org.gypsumroute.api.PoolId
+import org.gypsumroute.api.RampRule
+import org.gypsumroute.api.RegionId
+import org.gypsumroute.api.RetryRule
+import org.gypsumroute.api.ServiceDocument
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.ServiceKind
+import org.gypsumroute.api.Tokens
+
+internal fun testNode(host: String = "entry-1", role: NodeRole = NodeRole.ENTRY) = NodeIdentity(
+    host = HostId(host),
+    incarnation = IncarnationId("$host#1"),
+    role = role,
+    region = RegionId("bagmati"),
+    dataCentre = DataCentreId("thamel"),
+    pool = if (role == NodeRole.AGENT) PoolId("menu") else null
+)
+
+internal fun testCommon(node: NodeIdentity = testNode()) = CommonState(
+    node = node,
+    timings = Timings(),
+    policies = testPolicies
+)
+
+internal val testPolicies = Policies(
+    placement = { question -> question.candidates },
+    queueOrder = { question -> question.waiting.indices.firstOrNull() },
+    ramp = { question -> question.share },
+    retry = { null },
+    prefillEstimate = { tokens, rule -> (tokens.count / rule.warmPrefillTokensPerSecond).seconds }
+)
+
+/** A valid document of a generation service; [contentMark] varies the digest. */
+internal fun testDocument(
+    version: Long = 1,
+    service: String = "menu-writer",
+    withdrawn: Boolean = false,
+    contentMark: Int = 0,
+    change: (ServiceDocument) -> ServiceDocument = { it }
+): EncodedDocument {
+    val document = change(baseDocument(service, version, withdrawn))
+    val text = "$service/$version/$withdrawn/$contentMark"
+    return EncodedDocument(document, DocumentDigest(text), DocumentContent(text.toByteArray()))
+}
+
+private fun baseDocument(service: String, version: Long, withdrawn: Boolean) = ServiceDocument(
+    service = ServiceId(service),
+    version = DocumentVersion(version),
+    kind = ServiceKind.GENERATION,
+    withdrawn = withdrawn,
+    pool = PoolId("menu"),
+    model = EngineModel(ModelId("menu-model"), null, "1"),
+    promptLimit = Tokens(1_000_000),
+    outputLimit = Tokens(4_096),
+    deadline = DeadlineRule(default = 30.seconds, longest = 10.minutes),
+    lengthClasses = listOf(
+        lengthClass("short", 8_000, 0.3, 980.milliseconds),
+        lengthClass("medium", 100_000, 0.2, 10.seconds),
+        lengthClass("long", 1_000_000, 0.0, 120.seconds)
+    ),
+    organisations = listOf(
+        OrganisationRule(OrganisationId("everest-cafe"), listOf("digest-1"), 1, 50),
+        OrganisationRule(OrganisationId("yak-hotel"), listOf("digest-2"), 2, 50)
+    ),
+    dataCentresOut = emptySet(),
+    limits = LimitRule(8, 32, Bytes(8L * 1024 * 1024)),
+    ramp = RampRule(0.1, 2, 2.0, 3.0, 100_000),
+    retry = RetryRule(3, 0.2, 50.milliseconds, 1.seconds),
+    group = GroupRule(4, 0.5, 2.seconds),
+    actions = ActionRule(emptyList(), 10_000)
+)
+
+private fun lengthClass(
+    name: String,
+    upTo: Long,
+    reservedShare: Double,
+    firstToken: kotlin.time.Duration
+) = LengthClass(
+    name = LengthClassName(name),
+    upTo = Tokens(upTo),
+    reservedShare = reservedShare,
+    firstTokenObjective = firstToken,
+    betweenTokensObjective = 48.milliseconds,
+    objectiveShare = 0.95,
+    longestWait = firstToken * 2
+)
--- /dev/null
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/EffectHandlers.kt
@@ -0,0 +1,23 @@
+package org.gypsumroute.runtime
+
+import org.gypsumroute.api.CallerEffect
+import org.gypsumroute.api.EngineEffect
+import org.gypsumroute.api.Event
+import org.gypsumroute.api.PeerEffect
+import org.gypsumroute.api.PlatformEffect
+
+/** Hands an event to the control thread; may be called from any thread and never blocks. */
+typealias EventSink = (Event) -> Unit
+
+/**
+ * Carries out the effects that the runtime does not handle itself. Handlers run on the control
+ * thread and return at once; slow work goes to traffic threads, which answer with events.
+ */
+class EffectHandlers(
+    val platform: (PlatformEffect) -> Unit,
+    val peer: (PeerEffect) -> Unit,
+    val caller: (CallerEffect) -> Unit,
+    val engine: (EngineEffect) -> Unit,
+    val setReady: (Boolean) -> Unit,
+    val exit: (Int) -> Unit
+)
