--- /dev/null
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/AnswerBuffer.kt
@@ -0,0 +1,152 @@
+/*
+ * Puts a request's answer together between the threads that receive it and the one that writes it.
+ */
+package org.gypsumroute.entry
+
+import java.util.TreeMap
+import kotlinx.coroutines.channels.Channel
+import org.gypsumroute.api.AnswerEvent
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.Tokens
+import org.gypsumroute.runtime.EventSink
+import org.gypsumroute.wire.DataFrame
+
+/**
+ * The answer of one request. Chunks may arrive late, twice or out of order, and only those of the
+ * current lease count. One writer takes the bytes in order; it suspends while there are none.
+ *
+ * The text stays here until the request is forgotten, since another endpoint continues from it.
+ */
+internal class AnswerBuffer(private val request: RequestId, private val events: EventSink) {
+    private val text = TextStore()
+    private val early = TreeMap<Int, DataFrame.AnswerChunk>()
+    private val arrival = Channel<Unit>(Channel.CONFLATED)
+    private var lease: LeaseId? = null
+    private var leaseStart = 0
+    private var next = 0
+    private var end: DataFrame.AnswerEnd? = null
+    private var tokens = 0L
+    private var taken = 0
+    private var reportedStep = 0
+    private var failure: Failure? = null
+
+    /** Takes the answer of [newLease] from now on; its chunks continue the text held so far. */
+    @Synchronized
+    fun follow(newLease: LeaseId) {
+        if (lease == newLease || isComplete()) return
+        lease = newLease
+        leaseStart = text.size
+        next = 0
+        end = null
+        early.clear()
+    }
+
+    /** Adds a chunk. Returns the next sequence number wanted if it should be acknowledged. */
+    @Synchronized
+    fun accept(chunk: DataFrame.AnswerChunk): Int? {
+        val wanted = chunk.lease == lease && failure == null && chunk.sequence >= next
+        if (!wanted || early.putIfAbsent(chunk.sequence, chunk) != null) return null
+        val before = next
+        while (true) append(early.remove(next) ?: break)
+        if (next == before) return null
+        if (before == 0) events(AnswerEvent.FirstToken(request, chunk.lease))
+        val marked = before / CHUNKS_PER_MARK != next / CHUNKS_PER_MARK
+        reportProgress(chunk.lease, marked)
+        reportCompletion()
+        arrival.trySend(Unit)
+        return next.takeIf { marked }
+    }
+
+    /** Adds the end mark. */
+    @Synchronized
+    fun accept(mark: DataFrame.AnswerEnd) {
+        if (mark.lease != lease || failure != null || end != null) return
+        end = mark
+        reportCompletion()
+        arrival.trySend(Unit)
+    }
+
+    /** Ends the answer with an error and drops the bytes held; nothing changes if it is whole. */
+    @Synchronized
+    fun fail(cause: Failure) {
+        if (failure != null) return
+        failure = cause
+        text.clear()
+        early.clear()
+        taken = 0
+        arrival.trySend(Unit)
+    }
+
+    /** The sequence number of the first chunk missing from [wanted]'s answer; null if stale. */
+    @Synchronized
+    fun nextSequence(wanted: LeaseId): Int? = next.takeIf { lease == wanted }
+
+    /** The text that [wanted]'s answer continues. */
+    @Synchronized
+    fun textBefore(wanted: LeaseId): ByteArray =
+        if (lease == wanted) text.copyOfRange(0, leaseStart) else ByteArray(0)
+
+    @Synchronized
+    fun heldBytes(): Bytes = Bytes((text.size - taken).toLong())
+
+    /** The next portion, or null if none has arrived; bytes already taken are not returned again. */
+    @Synchronized
+    fun tryTake(): AnswerPortion? {
+        failure?.let { return AnswerPortion.Failed(it) }
+        if (taken < text.size) return takeText()
+        val mark = end
+        return if (mark != null && isComplete()) {
+            AnswerPortion.End(mark, Tokens(tokens))
+        } else {
+            null
+        }
+    }
+
+    /** The next portion; suspends until there is one. Only one coroutine may call this. */
+    suspend fun take(): AnswerPortion {
+        while (true) {
+            tryTake()?.let { return it }
+            arrival.receive()
+        }
+    }
+
+    private fun append(chunk: DataFrame.AnswerChunk) {
+        text.append(chunk.bytes)
+        tokens += chunk.tokens.count
+        next++
+    }
+
+    private fun takeText(): AnswerPortion.Text {
+        val limit = minOf(text.size, taken + LARGEST_PORTION)
+        val to = text.characterEnd(taken, limit)
+        val bytes = text.copyOfRange(taken, to)
+        taken = to
+        lease?.let { reportProgress(it, marked = false) }
+        return AnswerPortion.Text(bytes)
+    }
+
+    private fun isComplete(): Boolean = end?.chunks == next
+
+    private fun reportCompletion() {
+        val current = lease ?: return
+        if (!isComplete()) return
+        events(AnswerEvent.Completed(request, current, Tokens(tokens), heldBytes()))
+    }
+
+    private fun reportProgress(current: LeaseId, marked: Boolean) {
+        val step = (text.size - taken) / BYTES_PER_STEP
+        if (!marked && step == reportedStep) return
+        reportedStep = step
+        events(AnswerEvent.Progress(request, current, Tokens(tokens), heldBytes()))
+    }
+
+    private companion object {
+        // Marks are rare compared to chunks, since each costs the control thread one event.
+        const val CHUNKS_PER_MARK = 32
+        const val BYTES_PER_STEP = 65_536
+        const val LARGEST_PORTION = 65_536
+    }
+}
--- /dev/null
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/TextStore.kt
@@ -0,0 +1,63 @@
+package org.gypsumroute.entry
+
+/**
+ * Append-only bytes in blocks, so that the memory taken is at most the bytes held and one block.
+ *
+ * Not safe for use by several threads at once.
+ */
+internal class TextStore {
+    private val blocks = ArrayList<ByteArray>()
+
+    var size = 0
+        private set
+
+    fun append(bytes: ByteArray) {
+        var copied = 0
+        while (copied < bytes.size) {
+            val offset = size % BLOCK_BYTES
+            if (offset == 0) blocks.add(ByteArray(BLOCK_BYTES))
+            val count = minOf(bytes.size - copied, BLOCK_BYTES - offset)
+            bytes.copyInto(blocks.last(), offset, copied, copied + count)
+            copied += count
+            size += count
+        }
+    }
+
+    /** A copy of the bytes from [from] to [to] (exclusive). */
+    fun copyOfRange(from: Int, to: Int): ByteArray {
+        val result = ByteArray(to - from)
+        var copied = 0
+        while (copied < result.size) {
+            val position = from + copied
+            val offset = position % BLOCK_BYTES
+            val count = minOf(result.size - copied, BLOCK_BYTES - offset)
+            blocks[position / BLOCK_BYTES].copyInto(result, copied, offset, offset + count)
+            copied += count
+        }
+        return result
+    }
+
+    /** Largest position in `from..to` that does not cut a UTF-8 sequence, or [to] if none. */
+    fun characterEnd(from: Int, to: Int): Int {
+        if (to >= size) return to
+        val earliest = maxOf(from, to - LONGEST_TAIL)
+        return (to downTo earliest).firstOrNull { !isContinuation(it) && it > from } ?: to
+    }
+
+    fun clear() {
+        blocks.clear()
+        size = 0
+    }
+
+    private fun isContinuation(position: Int): Boolean {
+        val byte = blocks[position / BLOCK_BYTES][position % BLOCK_BYTES].toInt()
+        return byte and CONTINUATION_MASK == CONTINUATION_BITS
+    }
+
+    private companion object {
+        const val BLOCK_BYTES = 4096
+        const val LONGEST_TAIL = 3
+        const val CONTINUATION_MASK = 0xC0
+        const val CONTINUATION_BITS = 0x80
+    }
+}
--- /dev/null
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CompletionRoute.kt
@@ -0,0 +1,129 @@
+package org.gypsumroute.entry.http
+
+import arrow.core.Either
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeStringUtf8
+import java.io.ByteArrayOutputStream
+import kotlinx.serialization.json.JsonObject
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.CallerEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.Tokens
+import org.gypsumroute.entry.AnswerPortion
+import org.gypsumroute.entry.Exchange
+import org.gypsumroute.runtime.EventSink
+
+/** `POST /v1/completions`, with and without server-sent events. */
+internal class CompletionRoute(
+    private val settings: CallersHttpSettings,
+    private val events: EventSink
+) {
+    suspend fun serve(call: ApplicationCall, exchange: Exchange, headers: CallerHeaders): RouteEnd {
+        val request = exchange.request
+        events(CallerEvent.Opened(request, headers.keyDigest, headers.declaredBytes))
+        val accepted = exchange.bodyAccepted.await()
+        if (accepted is Either.Left) return refuse(call, exchange, accepted.value)
+        val time = headers.timeout ?: settings.bodyTime
+        val body = when (val read = readBody(call, settings.largestBody, time)) {
+            is Either.Left -> return reject(call, exchange, events, read.value, bodyFault(settings))
+            is Either.Right -> read.value
+        }
+        val completion = when (val decoded = decodeCompletion(body)) {
+            is Either.Left ->
+                return reject(call, exchange, events, ErrorKind.MALFORMED_REQUEST, decoded.value)
+
+            is Either.Right -> decoded.value
+        }
+        exchange.body = completion.prompt.encodeToByteArray()
+        events(arrival(exchange, completion, headers))
+        return answer(call, exchange, completion.stream)
+    }
+
+    private fun arrival(exchange: Exchange, completion: CompletionRequest, headers: CallerHeaders) =
+        CallerEvent.GenerationArrived(
+            request = exchange.request,
+            service = ServiceId(completion.model),
+            keyDigest = headers.keyDigest,
+            promptTokens = estimateTokens(exchange.body),
+            bodyBytes = Bytes(exchange.body.size.toLong()),
+            outputLimit = completion.outputLimit?.let(::Tokens),
+            timeout = headers.timeout,
+            prefix = prefixDigest(exchange.body)
+        )
+
+    private suspend fun answer(
+        call: ApplicationCall,
+        exchange: Exchange,
+        stream: Boolean
+    ): RouteEnd {
+        // The status line waits for the first portion, so that a refusal has its own status.
+        val first = exchange.answer.take()
+        return when {
+            first is AnswerPortion.Failed -> refuse(call, exchange, first.failure)
+
+            stream -> {
+                call.response.header(HttpHeaders.CacheControl, "no-store")
+                call.respondBytesWriter(ContentType.Text.EventStream) {
+                    writeEvents(this, exchange, first)
+                }
+                RouteEnd.ANSWERED
+            }
+
+            else -> answerWhole(call, exchange, first)
+        }
+    }
+
+    private suspend fun answerWhole(
+        call: ApplicationCall,
+        exchange: Exchange,
+        first: AnswerPortion
+    ): RouteEnd {
+        val text = ByteArrayOutputStream()
+        var portion = first
+        while (portion is AnswerPortion.Text) {
+            text.write(portion.bytes)
+            portion = exchange.answer.take()
+        }
+        if (portion is AnswerPortion.Failed) return refuse(call, exchange, portion.failure)
+        val end = portion as AnswerPortion.End
+        val content = completion(
+            exchange.request,
+            text.toString(Charsets.UTF_8),
+            end.mark.finishReason,
+            estimateTokens(exchange.body),
+            end.tokens
+        )
+        respondJson(call, content)
+        return RouteEnd.ANSWERED
+    }
+}
+
+private suspend fun writeEvents(out: ByteWriteChannel, exchange: Exchange, first: AnswerPortion) {
+    var portion = first
+    while (portion is AnswerPortion.Text) {
+        out.writeEvent(completionChunk(exchange.request, portion.bytes.decodeToString(), null))
+        portion = exchange.answer.take()
+    }
+    when (portion) {
+        is AnswerPortion.Failed -> out.writeEvent(errorJson(portion.failure, exchange.request))
+
+        is AnswerPortion.End -> {
+            out.writeEvent(completionChunk(exchange.request, "", portion.mark.finishReason))
+            out.writeStringUtf8("data: [DONE]\n\n")
+            out.flush()
+        }
+
+        is AnswerPortion.Text -> Unit
+    }
+}
+
+private suspend fun ByteWriteChannel.writeEvent(content: JsonObject) {
+    writeStringUtf8("data: $content\n\n")
+    flush()
+}
