--- /dev/null
+++ b/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/EngineSimulationEvent.kt
@@ -0,0 +1,47 @@
+package org.gypsumroute.test
+
+/** What happens to the simulated engine. [at] is in milliseconds; [ask] names the caller. */
+sealed interface EngineSimulationEvent {
+    val at: Long
+
+    /** A call opens a stream; [prompt] is the digest of its body. */
+    data class Open(
+        override val at: Long,
+        val ask: Long,
+        val id: String,
+        val prompt: PromptDigest,
+        val outputLimit: Int,
+        val priority: Int,
+        val export: Boolean
+    ) : EngineSimulationEvent
+
+    /** A call cancels a stream. */
+    data class Cancel(override val at: Long, val ask: Long, val id: String) : EngineSimulationEvent
+
+    /** A call releases a handle. */
+    data class Release(override val at: Long, val ask: Long, val handle: String) :
+        EngineSimulationEvent
+
+    /** A call asks for a model to be loaded or for a change of role. */
+    data class Order(
+        override val at: Long,
+        val ask: Long,
+        val fencing: Long,
+        val load: LoadedModel?,
+        val role: String?
+    ) : EngineSimulationEvent
+
+    /** The next step of prefill and decoding is due. */
+    data class StepDue(override val at: Long) : EngineSimulationEvent
+
+    /** A test sets switches. */
+    data class SetFaults(override val at: Long, val ask: Long, val faults: EngineFaults) :
+        EngineSimulationEvent
+
+    /** A test makes the engine cold for [tokens] of prefill. */
+    data class TurnCold(override val at: Long, val ask: Long, val tokens: Long) :
+        EngineSimulationEvent
+}
+
+/** What the simulation keeps of a prompt's body. */
+data class PromptDigest(val tokens: Long, val nextToken: Long, val blocks: List<Long>)
