--- /dev/null
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
@@ -0,0 +1,78 @@
+package org.gypsumroute.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.context
+import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import com.github.ajalt.clikt.parameters.types.restrictTo
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.entry.EntrySettings
+import org.gypsumroute.entry.runEntry
+
+/** `gypsumroute entry`: serves callers. */
+internal class EntryCommand(
+    environment: (String) -> String? = System::getenv,
+    private val start: (EntrySettings) -> Int = ::runEntry
+) : CliktCommand(name = "entry") {
+    private val node by NodeOptions(environment)
+    private val callersAddress by option(help = "Address of the callers' HTTP port")
+        .default(LOOPBACK)
+    private val callersPort by option(help = "Callers' HTTP port").port().default(CALLERS_PORT)
+    private val operatorsAddress by option(help = "Address of the operators' HTTP port")
+        .default(LOOPBACK)
+    private val operatorsPort by option(help = "Operators' HTTP port").port()
+        .default(OPERATORS_PORT)
+    private val largestBody by option(help = "Largest request body, in bytes")
+        .long().restrictTo(1024L..LARGEST_BODY).default(DEFAULT_BODY)
+    private val bodyTime by option(help = "Longest upload when a caller gives no timeout, in seconds")
+        .seconds(60.seconds)
+    private val openRequests by option(help = "Largest number of requests at a time")
+        .int().restrictTo(1..MOST_REQUESTS).default(DEFAULT_REQUESTS)
+    private val bufferedBytes by option(help = "Budget for bodies and answers held, in bytes")
+        .long().restrictTo(1024L..LARGEST_BUDGET).default(DEFAULT_BUDGET)
+    private val timings by TimingOptions()
+
+    init {
+        context { autoEnvvarPrefix = VARIABLE_PREFIX }
+    }
+
+    override fun help(context: Context) = "Serves callers and routes their requests to agents."
+
+    override fun helpEpilog(context: Context) = VARIABLES_HELP
+
+    override fun run() = throw ProgramResult(start(settings()))
+
+    private fun settings() = EntrySettings(
+        node = node.settings(timings.timings()),
+        callersAddress = callersAddress,
+        callersPort = callersPort,
+        operatorsAddress = operatorsAddress,
+        operatorsPort = operatorsPort,
+        largestBody = Bytes(largestBody),
+        bodyTime = bodyTime,
+        openRequests = openRequests,
+        bufferedBytes = Bytes(bufferedBytes)
+    )
+
+    private companion object {
+        const val CALLERS_PORT = 8080
+        const val OPERATORS_PORT = 8081
+        const val DEFAULT_BODY = 16L * 1024 * 1024
+        const val LARGEST_BODY = 1024L * 1024 * 1024
+        const val DEFAULT_REQUESTS = 4096
+        const val MOST_REQUESTS = 1_000_000
+        const val DEFAULT_BUDGET = 256L * 1024 * 1024
+        const val LARGEST_BUDGET = 1024L * 1024 * 1024 * 1024
+    }
+}
+
+internal const val LOOPBACK = "127.0.0.1"
+internal const val VARIABLE_PREFIX = "GYPSUMROUTE"
+internal const val VARIABLES_HELP =
+    "Each option may also be given by a variable: --host by GYPSUMROUTE_HOST, and so on."
--- /dev/null
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/OperatorsHttp.kt
@@ -0,0 +1,51 @@
+package org.gypsumroute.entry.http
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.routing
+import kotlinx.serialization.json.JsonElement
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.process.NodeProcess
+
+/** The operators' port: probes, metrics, status and burn rates. */
+internal class OperatorsHttp(address: String, port: Int, private val process: NodeProcess) {
+    private val server = embeddedServer(CIO, port = port, host = address) {
+        routing {
+            get("/health") { call.respondText("ok\n") }
+            get("/ready") { respondReady(call) }
+            get("/metrics") { call.respondText(process.metrics.scrape(), metricsType) }
+            get("/status") {
+                val state = process.state as EntryState
+                respondElement(call, statusJson(state))
+            }
+            get("/burn") { respondElement(call, burnJson(process.burn.report())) }
+        }
+    }
+
+    /** Starts listening and returns the port in use. */
+    suspend fun start(): Int {
+        server.start(wait = false)
+        return server.engine.resolvedConnectors().first().port
+    }
+
+    fun stop() = server.stop(STOP_MILLISECONDS, STOP_MILLISECONDS)
+
+    private suspend fun respondReady(call: ApplicationCall) = if (process.isReady) {
+        call.respondText("ready\n")
+    } else {
+        call.respondText("not ready\n", status = HttpStatusCode.ServiceUnavailable)
+    }
+
+    private suspend fun respondElement(call: ApplicationCall, content: JsonElement) =
+        call.respondText(content.toString(), ContentType.Application.Json)
+
+    private companion object {
+        const val STOP_MILLISECONDS = 200L
+        val metricsType = ContentType.parse("text/plain; version=0.0.4; charset=utf-8")
+    }
+}
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PeerLinks.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PeerLinks.kt
@@ -3,7 +3,7 @@
  */
 package org.gypsumroute.process
 
-import java.io.IOException
+import arrow.core.Either
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -20,6 +20,7 @@
 import org.gypsumroute.wire.DataFrame
 import org.gypsumroute.wire.PeerConnection
 import org.gypsumroute.wire.PeerReceiver
+import org.gypsumroute.wire.PeerTransportError
 
 /**
  * Connects a transport with the control thread. [receiveData] takes data frames, which bypass the
@@ -80,11 +81,8 @@
             is PeerEffect.Disconnect -> byId[effect.connection]?.close()
 
             is PeerEffect.Connect -> scope.launch {
-                try {
-                    connect(effect.record)
-                } catch (refused: IOException) {
-                    val cause = refused.message ?: refused.javaClass.simpleName
-                    events(PeerEvent.Disconnected(effect.record.host, null, cause))
+                connect(effect.record).onLeft { refused ->
+                    events(PeerEvent.Disconnected(effect.record.host, null, refused.detail))
                 }
             }
         }
