--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/Main.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/Main.kt
@@ -3,12 +3,12 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.UsageError
-import com.github.ajalt.clikt.core.context
 import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.clikt.completion.completionOption
 import kotlin.system.exitProcess
+import org.gypsumroute.cli.load.LoadCommand
 
 /** Starts the command line; settings with faults end it with exit code 2. */
 fun main(arguments: Array<String>) {
@@ -24,7 +24,7 @@
 }
 
 internal fun gypsumrouteCommand(): GypsumrouteCommand =
-    GypsumrouteCommand().subcommands(EntryCommand(), AgentCommand())
+    GypsumrouteCommand().subcommands(EntryCommand(), AgentCommand(), LoadCommand())
 
 internal fun exitCodeOf(error: CliktError): Int =
     if (error is UsageError) EXIT_SETTINGS else error.statusCode
