Admit, place, dispatch and end callers' requests in the entry's reducer

The entry's reducer handled only shared events. It now admits requests by their document, asks endpoints for leases, dispatches the first grant, fails over, forms groups, routes actions to their key's host and fails at deadlines.

--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ActionsReducer.kt
@@ -0,0 +1,124 @@
+/*
+ * Actions, which run at most once, and the keys that bind them to one run of one agent.
+ */
+package org.gypsumroute.core
+
+import org.gypsumroute.api.CallerEffect
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.HostRecord
+import org.gypsumroute.api.PeerEffect
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.ServiceDocument
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+
+/** Asks the run of the agent that the key names, and nobody else. */
+internal fun placeAction(state: EntryState, record: RequestRecord): Step<EntryState> {
+    val home = record.terms.actionKey?.let { actionHome(it) }
+    val document = state.common.documents.inForce(record.terms.service)
+    val host = home?.let { state.common.hosts[it.host] }
+    val link = home?.let { state.common.peers[it.host] }
+    val restarted = link?.connection != null && link.incarnation != home.incarnation
+    return when {
+        document == null ->
+            fail(state, record, ErrorKind.SERVICE_UNKNOWN, "the service was withdrawn")
+
+        home == null || host == null || host.leaving || restarted ->
+            fail(state, record, ErrorKind.ACTION_OUTCOME_UNKNOWN, "the key's issuer is gone")
+
+        host.pool != document.pool -> failWith(
+            state,
+            record,
+            Failure(ErrorKind.ACTION_KEY_INVALID, "the key was not issued by this service")
+        )
+
+        host.dataCentre in document.dataCentresOut ->
+            fail(state, record, ErrorKind.DATA_CENTRE_OUT, "${host.dataCentre} is out")
+
+        link?.connection == null || link.silentSince != null ->
+            awaitHome(state, record, host, document)
+
+        else -> {
+            val asking = record.copy(phase = RequestPhase.ASKING, attempt = record.attempt + 1)
+            ask(state.withRequest(asking), record.id, home.host)
+        }
+    }
+}
+
+private fun awaitHome(
+    state: EntryState,
+    record: RequestRecord,
+    host: HostRecord,
+    document: ServiceDocument
+): Step<EntryState> {
+    val waits = record.waits + 1
+    val wait = backoff(document.retry, waits, entropyFor(state, record.id))
+    val waiting = waitFor(state, record.copy(waits = waits), wait)
+    if (host.host in state.common.peers) return waiting
+    return waiting.then { next ->
+        val link = PeerLink(peer = host.host, connecting = true)
+        next.copy(common = next.common.withLink(link)).step(PeerEffect.Connect(host))
+    }
+}
+
+/** Only an agent's word that the action has not run allows another attempt. */
+internal fun refusedAction(
+    state: EntryState,
+    record: RequestRecord,
+    failure: Failure
+): Step<EntryState> {
+    val lost = failure.kind == ErrorKind.ENDPOINT_LOST || failure.kind == ErrorKind.NO_ENDPOINT
+    val again = failure.runState == RunState.NOT_RUN && failure.kind in REPEATABLE
+    return when {
+        lost -> placeAction(state.withRequest(record), record)
+        again -> retry(state.withRequest(record), record)
+        else -> failWith(state, record, failure)
+    }
+}
+
+internal fun askActionKey(
+    state: EntryState,
+    record: RequestRecord,
+    host: HostId
+): Step<EntryState> {
+    val asking = record.copy(
+        phase = RequestPhase.ASKING,
+        attempt = record.attempt + 1,
+        asked = host
+    )
+    val terms = record.terms
+    val message = PeerMessage.ActionKeyRequest(record.id, terms.service, terms.organisation)
+    return Step(
+        state.withRequest(asking),
+        listOfNotNull(
+            sendTo(state.common, host, message),
+            attemptTimer(record.id, state.common.timings.activeHeartbeat)
+        )
+    )
+}
+
+internal fun reduceActionKeyIssued(
+    state: EntryState,
+    message: PeerMessage.ActionKeyIssued
+): Step<EntryState> {
+    val record = state.requests[message.request]
+    val awaited = record != null && record.terms.kind == null &&
+        record.phase != RequestPhase.DELIVERING
+    if (record == null || !awaited) return state.step()
+    return state.withRequest(record.copy(phase = RequestPhase.DELIVERING)).step(
+        CallerEffect.AnswerActionKey(record.id, message.key),
+        RuntimeEffect.CancelTimer(TimerId.RequestDeadline(record.id)),
+        RuntimeEffect.CancelTimer(TimerId.Attempt(record.id))
+    )
+}
+
+private val REPEATABLE = setOf(
+    ErrorKind.OVERLOADED,
+    ErrorKind.ENGINE_REFUSED,
+    ErrorKind.LEASE_EXPIRED,
+    ErrorKind.PLAIN_SERVICE_FAILED
+)
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AdmissionChecks.kt
@@ -0,0 +1,169 @@
+/*
+ * Checks of a complete request against its service's document.
+ */
+package org.gypsumroute.core
+
+import arrow.core.Either
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import kotlin.math.ceil
+import kotlin.time.Duration
+import org.gypsumroute.api.CallerEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.LengthClass
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.OrganisationRule
+import org.gypsumroute.api.RetryAdvice
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.ServiceDocument
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.ServiceKind
+import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.WorkKind
+
+internal fun checkGeneration(
+    state: EntryState,
+    event: CallerEvent.GenerationArrived
+): Either<Failure, Admission> = either {
+    val checks = Checks(state, this)
+    val (document, rule) = checks.user(event.service, event.keyDigest, ServiceKind.GENERATION)
+    checks.ensureOr(event.promptTokens <= document.promptLimit, ErrorKind.PROMPT_TOO_LONG) {
+        "the prompt has ${event.promptTokens} tokens; the limit is ${document.promptLimit}"
+    }
+    val output = event.outputLimit ?: document.outputLimit
+    checks.ensureOr(
+        output > Tokens.ZERO && output <= document.outputLimit,
+        ErrorKind.OUTPUT_LIMIT_INVALID
+    ) { "the output limit must be 1 to ${document.outputLimit} tokens" }
+    val timeout = checks.timeout(document, event.timeout)
+    checks.openRequests(document, rule)
+    val terms = RequestTerms(
+        service = event.service,
+        organisation = rule.organisation,
+        lengthClass = lengthClass(document, event.promptTokens).name,
+        promptTokens = event.promptTokens,
+        outputLimit = output,
+        bodyBytes = event.bodyBytes,
+        prefix = event.prefix,
+        kind = WorkKind.GENERATION
+    )
+    Admission(terms, timeout)
+}
+
+internal fun checkCall(
+    state: EntryState,
+    event: CallerEvent.CallArrived
+): Either<Failure, Admission> = either {
+    val checks = Checks(state, this)
+    val (document, rule) = checks.user(event.service, event.keyDigest, ServiceKind.PLAIN)
+    val once = event.path in document.actions.notRepeatable
+    checks.ensureOr(!once || event.actionKey != null, ErrorKind.ACTION_KEY_MISSING) {
+        "calls of ${event.path} need an action key issued for this service"
+    }
+    val key = event.actionKey.takeIf { once }
+    checks.ensureOr(key == null || actionHome(key) != null, ErrorKind.ACTION_KEY_INVALID) {
+        "the action key was not issued by this service"
+    }
+    val timeout = checks.timeout(document, event.timeout)
+    // An earlier call with the same key may have run, so a refusal may not claim otherwise.
+    checks.openRequests(document, rule, if (once) RunState.UNKNOWN else RunState.NOT_RUN)
+    val terms = RequestTerms(
+        service = event.service,
+        organisation = rule.organisation,
+        lengthClass = lengthClass(document, Tokens.ZERO).name,
+        bodyBytes = event.bodyBytes,
+        path = event.path,
+        actionKey = key,
+        kind = if (once) WorkKind.ACTION else WorkKind.CALL
+    )
+    Admission(terms, timeout)
+}
+
+internal fun checkActionKeyWanted(
+    state: EntryState,
+    event: CallerEvent.ActionKeyWanted
+): Either<Failure, Admission> = either {
+    val checks = Checks(state, this)
+    val (document, rule) = checks.user(event.service, event.keyDigest, ServiceKind.PLAIN)
+    val timeout = checks.timeout(document, event.timeout)
+    checks.openRequests(document, rule)
+    val lengthClass = lengthClass(document, Tokens.ZERO).name
+    Admission(RequestTerms(event.service, rule.organisation, lengthClass), timeout)
+}
+
+/** The class of a prompt; the longest class takes what exceeds all. */
+internal fun lengthClass(document: ServiceDocument, prompt: Tokens): LengthClass =
+    document.lengthClasses.firstOrNull { prompt <= it.upTo } ?: document.lengthClasses.last()
+
+/** Adds the time after which a repeat may succeed, where the advice is to repeat later. */
+internal fun adviseRetry(
+    state: EntryState,
+    kind: ErrorKind,
+    detail: String,
+    runState: RunState = kind.runState,
+    service: ServiceId? = null
+): Failure {
+    val rule = service?.let { state.common.documents.inForce(it)?.retry }
+    val later = (rule?.longestBackoff ?: state.common.timings.connectBackoff * 2)
+    return Failure(kind, detail, runState, later.takeIf { kind.retry == RetryAdvice.LATER })
+}
+
+/** The checks that several kinds of requests share. */
+private class Checks(private val state: EntryState, private val raise: Raise<Failure>) {
+    fun ensureOr(condition: Boolean, kind: ErrorKind, detail: () -> String) =
+        raise.ensure(condition) { adviseRetry(state, kind, detail()) }
+
+    fun user(
+        service: ServiceId,
+        keyDigest: String,
+        kind: ServiceKind
+    ): Pair<ServiceDocument, OrganisationRule> {
+        val document = raise.ensureNotNull(state.common.documents.inForce(service)) {
+            adviseRetry(state, ErrorKind.SERVICE_UNKNOWN, "no service named $service")
+        }
+        val rule = raise.ensureNotNull(organisationOf(document, keyDigest)) {
+            adviseRetry(state, ErrorKind.CREDENTIALS_INVALID, "the key is not known to $service")
+        }
+        ensureOr(document.kind == kind, ErrorKind.SERVICE_KIND_MISMATCH) {
+            "$service is of kind ${document.kind.name.lowercase()}"
+        }
+        return document to rule
+    }
+
+    fun timeout(document: ServiceDocument, wanted: Duration?): Duration {
+        val timeout = raise.ensureNotNull(wanted ?: document.deadline.default) {
+            adviseRetry(state, ErrorKind.DEADLINE_MISSING, "the request needs a timeout")
+        }
+        val longest = document.deadline.longest
+        ensureOr(timeout > Duration.ZERO && timeout <= longest, ErrorKind.DEADLINE_INVALID) {
+            "the timeout must be above 0 and at most $longest"
+        }
+        return timeout
+    }
+
+    fun openRequests(
+        document: ServiceDocument,
+        rule: OrganisationRule,
+        runState: RunState = RunState.NOT_RUN
+    ) {
+        val open = state.openRequests[Membership(document.service, rule.organisation)] ?: 0
+        raise.ensure(open < openRequestLimit(state.common, rule)) {
+            val detail = "${rule.organisation} has $open open requests at this entry"
+            val kind = ErrorKind.ORGANISATION_LIMIT
+            adviseRetry(state, kind, detail, runState, document.service)
+        }
+    }
+}
+
+/**
+ * This entry's part of an organisation's limit. Twice the even share leaves room for callers that
+ * the load balancer spreads unevenly.
+ */
+private fun openRequestLimit(common: CommonState, rule: OrganisationRule): Int {
+    val entries = common.hosts.values.count { it.role == NodeRole.ENTRY && !it.leaving }
+    val share = ceil(2.0 * rule.openRequests / entries.coerceAtLeast(1)).toInt()
+    return minOf(share, rule.openRequests)
+}
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AdmissionReducer.kt
@@ -0,0 +1,181 @@
+/*
+ * Callers' requests from their headers to their admission, and their callers' departure.
+ */
+package org.gypsumroute.core
+
+import arrow.core.Either
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.CallerEffect
+import org.gypsumroute.api.CallerEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.Metric
+import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.WorkKind
+
+internal fun reduceCaller(state: EntryState, event: CallerEvent): Step<EntryState> = when (event) {
+    is CallerEvent.Opened -> reduceOpened(state, event)
+
+    is CallerEvent.GenerationArrived -> admit(state, event.request, event.bodyBytes) {
+        checkGeneration(state, event)
+    }
+
+    is CallerEvent.CallArrived -> admit(state, event.request, event.bodyBytes) {
+        checkCall(state, event)
+    }
+
+    is CallerEvent.ActionKeyWanted -> admit(state, event.request, Bytes.ZERO) {
+        checkActionKeyWanted(state, event)
+    }
+
+    is CallerEvent.Rejected -> refuse(state, event.request, Failure(event.kind, ""), told = true)
+
+    is CallerEvent.Left -> reduceLeft(state, event.request)
+
+    is CallerEvent.AnswerTaken -> reduceAnswerTaken(state, event.request)
+}
+
+private fun reduceOpened(state: EntryState, event: CallerEvent.Opened): Step<EntryState> {
+    val request = event.request
+    val known = request in state.opened || request in state.requests || request in state.ended
+    val user = knownUser(state.common, event.keyDigest)
+    val refusal = when {
+        known -> ErrorKind.REQUEST_DUPLICATE
+        state.common.drain != DrainPhase.SERVING -> ErrorKind.DRAINING
+        !state.common.ready -> ErrorKind.NOT_READY
+        user == null -> ErrorKind.CREDENTIALS_INVALID
+        !hasRoom(state, user, event.declaredBytes) -> ErrorKind.ANSWER_BUFFER_FULL
+        else -> null
+    }
+    return when {
+        // The earlier request of the same id goes on, so nothing of the state changes.
+        refusal == ErrorKind.REQUEST_DUPLICATE ->
+            Step(
+                state,
+                refusalEffects(
+                    request,
+                    adviseRetry(state, refusal, "a request with this id is open")
+                )
+            )
+
+        refusal != null || user == null -> refuse(
+            state,
+            request,
+            adviseRetry(state, refusal ?: ErrorKind.CREDENTIALS_INVALID, "not admitted")
+        )
+
+        else -> state.copy(
+            opened = state.opened.put(request, state.common.now),
+            buffers = state.buffers.put(
+                request,
+                HeldBytes(user.organisation, event.declaredBytes)
+            )
+        ).step(CallerEffect.AcceptBody(request))
+    }
+}
+
+private fun hasRoom(state: EntryState, user: KnownUser, more: Bytes): Boolean =
+    state.buffers.total + more <= state.largestBufferedBytes &&
+        state.buffers.of(user.organisation) + more <= user.buffered
+
+private fun admit(
+    state: EntryState,
+    request: RequestId,
+    bodyBytes: Bytes,
+    check: () -> Either<Failure, Admission>
+): Step<EntryState> {
+    val arrivedAt = state.opened[request] ?: return state.step()
+    val held = state.buffers.held[request]
+    val buffers = if (held == null) {
+        state.buffers
+    } else {
+        state.buffers.put(request, held.copy(body = bodyBytes))
+    }
+    return when (val checked = check()) {
+        is Either.Left -> refuse(state, request, checked.value)
+
+        is Either.Right -> {
+            val (terms, timeout) = checked.value
+            val record = RequestRecord(request, terms, arrivedAt, arrivedAt + timeout)
+            begin(state.copy(buffers = buffers), record)
+        }
+    }
+}
+
+private fun begin(state: EntryState, record: RequestRecord): Step<EntryState> {
+    val now = state.common.now
+    val open = (state.openRequests[record.membership] ?: 0) + 1
+    val share = state.common.documents.inForce(record.terms.service)?.retry?.budgetShare ?: 0.0
+    val next = state.copy(
+        opened = state.opened.remove(record.id),
+        requests = state.requests.put(record.id, record),
+        openRequests = state.openRequests.put(record.membership, open),
+        deadlines = state.deadlines.add(record.deadline, record.id),
+        retryBudget = minOf(state.retryBudget + share, LARGEST_RETRY_BUDGET)
+    )
+    if (record.deadline <= now) return fail(next, record, ErrorKind.DEADLINE_EXCEEDED, "too late")
+    val timer = RuntimeEffect.SetTimer(TimerId.RequestDeadline(record.id), record.deadline - now)
+    return next.step(timer).then { start(it, record) }
+}
+
+/** First attempt of an admitted request. */
+private fun start(state: EntryState, record: RequestRecord): Step<EntryState> =
+    when (record.terms.kind) {
+        WorkKind.ACTION -> placeAction(state, record)
+        else -> place(state, record)
+    }
+
+/** Refuses a request that was not admitted. [told] is set if its caller knows already. */
+private fun refuse(
+    state: EntryState,
+    request: RequestId,
+    failure: Failure,
+    told: Boolean = false
+): Step<EntryState> {
+    if (told && request !in state.opened) return state.step()
+    val next = state.copy(
+        opened = state.opened.remove(request),
+        buffers = state.buffers.remove(request),
+        ended = state.ended.add(request)
+    )
+    val effects = refusalEffects(request, failure)
+    return Step(next, if (told) effects.drop(1) else effects)
+}
+
+private fun refusalEffects(request: RequestId, failure: Failure) = listOf(
+    CallerEffect.Fail(request, failure),
+    refusedLog(request, failure),
+    RuntimeEffect.Count(Metric.REQUESTS, MetricLabels(outcome = failure.kind.code))
+)
+
+private fun reduceLeft(state: EntryState, request: RequestId): Step<EntryState> {
+    val record = state.requests[request]
+    val next = state.copy(
+        opened = state.opened.remove(request),
+        ended = state.ended.remove(request),
+        buffers = state.buffers.remove(request)
+    )
+    return when {
+        record == null -> next.step()
+        else -> endRequest(next, record, ErrorKind.CALLER_LEFT.code)
+    }.then { it.step(CallerEffect.Forget(request)) }
+}
+
+private fun reduceAnswerTaken(state: EntryState, request: RequestId): Step<EntryState> {
+    val record = state.requests[request]
+    val next = state.copy(
+        ended = state.ended.remove(request),
+        buffers = if (record == null) state.buffers.remove(request) else state.buffers
+    )
+    return when {
+        record == null -> next.step()
+        record.phase != RequestPhase.DELIVERING -> return state.step()
+        else -> endRequest(next, record, SUCCESS)
+    }.then { it.step(CallerEffect.Forget(request)) }
+}
+
+private const val SUCCESS = "ok"
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/BufferLedger.kt
@@ -0,0 +1,62 @@
+package org.gypsumroute.core
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.OrganisationId
+import org.gypsumroute.api.RequestId
+
+/**
+ * Bytes held for one request. [stalledSince] is the time since which the caller has not caught
+ * up with the answer, null if nothing of the answer is held.
+ */
+data class HeldBytes(
+    val organisation: OrganisationId,
+    val body: Bytes,
+    val answer: Bytes = Bytes.ZERO,
+    val stalledSince: Moment? = null
+) {
+    val sum: Bytes get() = body + answer
+}
+
+/** Request bodies and answers that this entry holds, with sums per organisation and in total. */
+data class BufferLedger(
+    val held: PersistentMap<RequestId, HeldBytes> = persistentMapOf(),
+    val byOrganisation: PersistentMap<OrganisationId, Bytes> = persistentMapOf(),
+    val total: Bytes = Bytes.ZERO
+) {
+    fun of(organisation: OrganisationId): Bytes = byOrganisation[organisation] ?: Bytes.ZERO
+
+    fun put(request: RequestId, bytes: HeldBytes): BufferLedger {
+        val before = remove(request)
+        val sum = before.of(bytes.organisation) + bytes.sum
+        return BufferLedger(
+            before.held.put(request, bytes),
+            before.byOrganisation.put(bytes.organisation, sum),
+            before.total + bytes.sum
+        )
+    }
+
+    fun remove(request: RequestId): BufferLedger {
+        val bytes = held[request] ?: return this
+        val left = of(bytes.organisation) - bytes.sum
+        val sums = if (left == Bytes.ZERO) {
+            byOrganisation.remove(bytes.organisation)
+        } else {
+            byOrganisation.put(bytes.organisation, left)
+        }
+        return BufferLedger(held.remove(request), sums, total - bytes.sum)
+    }
+
+    /** The bytes held after a mark of the answer; a falling count shows that the caller reads. */
+    fun atMark(request: RequestId, answer: Bytes, now: Moment): BufferLedger {
+        val before = held[request] ?: return this
+        val stalledSince = when {
+            answer == Bytes.ZERO -> null
+            answer < before.answer -> now
+            else -> before.stalledSince ?: now
+        }
+        return put(request, before.copy(answer = answer, stalledSince = stalledSince))
+    }
+}
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryReducer.kt
@@ -1,9 +1,80 @@
+/*
+ * Events as an entry treats them: the shared part first, then requests, leases and answers.
+ */
 package org.gypsumroute.core
 
+import org.gypsumroute.api.AnswerEvent
+import org.gypsumroute.api.CallerEvent
 import org.gypsumroute.api.Event
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.PeerEvent
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.PlatformEvent
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
 
 internal fun reduceEntry(state: EntryState, event: Event): Step<EntryState> =
-    reduceCommon(state.common, event)
-        .then { updateReadiness(it) }
-        .map { state.copy(common = it) }
+    state.onCommon { reduceCommon(it, event) }
+        .then { next -> next.onCommon { updateReadiness(it) } }
+        .then { reduceEntryConcerns(it, state, event) }
+        .then { finishDrain(it) }
+
+private fun reduceEntryConcerns(
+    state: EntryState,
+    before: EntryState,
+    event: Event
+): Step<EntryState> = when (event) {
+    is RuntimeEvent.ClockRead -> expireRequests(state)
+    is RuntimeEvent.TimerFired -> reduceEntryTimer(state, event.timer)
+    is PlatformEvent.HostsRead -> state.onCommon { reconcilePeers(it) }
+    is PeerEvent.Connected -> reduceEndpointConnected(state, before, event)
+    is PeerEvent.Disconnected -> reduceEndpointDisconnected(state, before, event)
+    is PeerEvent.Received -> reduceEntryMessage(state, event)
+    is CallerEvent -> reduceCaller(state, event)
+    is AnswerEvent -> reduceAnswer(state, event)
+    else -> state.step()
+}
+
+private fun reduceEntryTimer(state: EntryState, timer: TimerId): Step<EntryState> = when (timer) {
+    is TimerId.Attempt -> reduceAttemptTimer(state, timer.request)
+    is TimerId.PeerSilence -> reduceSilenceTimer(state, timer.peer)
+    is TimerId.Heartbeat -> reduceEntryHeartbeat(state)
+    else -> state.step()
+}
+
+private fun reduceEntryMessage(state: EntryState, event: PeerEvent.Received): Step<EntryState> =
+    when (val message = event.message) {
+        is PeerMessage.GrantIssued -> reduceGrantIssued(state, event, message.lease)
+        is PeerMessage.GrantRefused -> reduceGrantRefused(state, message.lease, message.failure)
+        is PeerMessage.SegmentReady -> reduceSegmentReady(state, message)
+        is PeerMessage.WorkFailed -> reduceWorkFailed(state, message.lease, message.failure)
+        is PeerMessage.ActionKeyIssued -> reduceActionKeyIssued(state, message)
+        else -> state.step()
+    }
+
+/** Heartbeats and renewals: a peer with leases of this entry hears of all of them. */
+private fun reduceEntryHeartbeat(state: EntryState): Step<EntryState> =
+    state.onCommon { reducePeerTick(it, state.leasesByHost.keys) }
+        .then { next -> Step(next, renewals(next)) }
+        .then { dropLateReaders(it) }
+
+private fun renewals(state: EntryState) = state.leasesByHost.mapNotNull { (host, leases) ->
+    sendTo(state.common, host, PeerMessage.LeaseRenewal(leases.toList()))
+}
+
+private fun finishDrain(state: EntryState): Step<EntryState> {
+    val idle = state.opened.isEmpty() && state.requests.isEmpty() && state.ended.isEmpty()
+    return if (state.common.drain != DrainPhase.DRAINING || !idle) {
+        state.step()
+    } else {
+        state.copy(common = state.common.copy(drain = DrainPhase.FINISHED))
+            .step(logEffect(LogEvent.DRAIN_FINISHED), RuntimeEffect.Exit(0))
+    }
+}
+
+/** Applies a step to the shared state. */
+internal inline fun EntryState.onCommon(
+    change: (CommonState) -> Step<CommonState>
+): Step<EntryState> = change(common).map { if (it === common) this else copy(common = it) }
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GroupsReducer.kt
@@ -0,0 +1,168 @@
+/*
+ * Groups of endpoints that serve one long prompt together.
+ *
+ * Leases are asked for one after the other in host id order, each with a bounded wait, and all go
+ * back if one is refused or late. Groups therefore never wait for each other in a cycle.
+ */
+package org.gypsumroute.core
+
+import kotlin.time.Duration
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.GroupShare
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.ServiceDocument
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.WorkKind
+
+internal fun needsGroup(record: RequestRecord, candidates: List<PlacementCandidate>): Boolean {
+    if (record.terms.kind != WorkKind.GENERATION) return false
+    val largest = candidates.maxOfOrNull { it.summary?.engineMemory?.count ?: 0 } ?: 0
+    val need = (record.promptNow + record.outputLeft).count
+    return largest > 0 && need > largest * USABLE_MEMORY
+}
+
+internal fun placeGroup(
+    state: EntryState,
+    record: RequestRecord,
+    document: ServiceDocument,
+    candidates: List<PlacementCandidate>
+): Step<EntryState> {
+    val plan = planGroup(state, record, document, candidates)
+    return when {
+        !canFinish(state, record, document, Duration.ZERO) -> fail(
+            state,
+            record,
+            ErrorKind.DEADLINE_UNREACHABLE,
+            "the prompt cannot be processed before the deadline"
+        )
+
+        plan == null ->
+            waitForEndpoint(state, record, document, candidates, ErrorKind.GROUP_UNAVAILABLE)
+
+        else -> {
+            val asking = record.copy(
+                phase = RequestPhase.ASKING,
+                attempt = record.attempt + 1,
+                group = plan
+            )
+            askMember(state.withRequest(asking), asking, plan, 0)
+        }
+    }
+}
+
+private fun askMember(
+    state: EntryState,
+    record: RequestRecord,
+    plan: GroupPlan,
+    index: Int
+): Step<EntryState> {
+    val member = plan.members[index]
+    val last = index == plan.members.lastIndex
+    val share = GroupShare(index, plan.members.size)
+    val kind = if (last) WorkKind.GENERATION else WorkKind.SEGMENT
+    val wait = state.common.documents.inForce(record.terms.service)?.group?.grantWait
+        ?: state.common.timings.grantTime
+    return ask(state, record.id, member.host, MemberAsk(kind, member.tokens, share))
+        .then { it.step(attemptTimer(record.id, wait)) }
+}
+
+/** A member granted: asks the next one, or starts the first when all did. */
+internal fun grantMember(
+    state: EntryState,
+    record: RequestRecord,
+    lease: LeaseRecord
+): Step<EntryState> {
+    val plan = record.group ?: return releaseLease(state, lease.lease)
+    val index = lease.share?.index ?: 0
+    val members = plan.members.mapIndexed { position, member ->
+        if (position == index) member.copy(lease = lease.lease) else member
+    }
+    val granted = record.copy(group = plan.copy(members = members))
+    val next = state.withRequest(granted).withLease(lease.copy(stage = LeaseStage.GRANTED))
+    return when {
+        index < plan.members.lastIndex ->
+            if (mayAskMember(next, granted, index + 1)) {
+                askMember(next, granted, plan.copy(members = members), index + 1)
+            } else {
+                failGroup(next, granted, lateGrant(), null)
+            }
+
+        else -> dispatchMember(next, granted, 0)
+    }
+}
+
+private fun mayAskMember(state: EntryState, record: RequestRecord, index: Int): Boolean {
+    val document = state.common.documents.inForce(record.terms.service) ?: return false
+    val member = record.group?.members?.getOrNull(index) ?: return false
+    return mayAsk(state.common, document, member.host)
+}
+
+private fun dispatchMember(state: EntryState, record: RequestRecord, index: Int): Step<EntryState> {
+    val plan = record.group ?: return state.step()
+    val lease = plan.members.getOrNull(index)?.lease?.let { state.leases[it] }
+        ?: return failGroup(state, record, lateGrant(), null)
+    return dispatch(state, lease, plan.handles)
+}
+
+internal fun reduceSegmentReady(
+    state: EntryState,
+    message: PeerMessage.SegmentReady
+): Step<EntryState> {
+    val lease = state.leases[message.lease]
+    val record = lease?.let { state.requests[it.request] }
+    val plan = record?.group
+    val expected = lease != null && lease.stage == LeaseStage.DISPATCHED && !lease.answering &&
+        lease.kind == WorkKind.SEGMENT
+    if (!expected || lease == null || plan == null) return state.step()
+    val index = lease.share?.index ?: return state.step()
+    val ready = record.copy(
+        group = plan.copy(handles = plan.handles + message.handle),
+        history = RunState.RAN
+    )
+    val next = state.withRequest(ready).withLease(lease.copy(answering = true))
+    return dispatchMember(next, ready, index + 1)
+}
+
+/** Gives all leases of a group back, then tries again within the retry budget. */
+internal fun failGroup(
+    state: EntryState,
+    record: RequestRecord,
+    failure: Failure,
+    failed: LeaseRecord?
+): Step<EntryState> {
+    val started = record.leases.any { state.leases[it]?.stage == LeaseStage.DISPATCHED } ||
+        (failed?.stage == LeaseStage.DISPATCHED && failure.runState != RunState.NOT_RUN)
+    val history = when {
+        record.answerBegan || record.history == RunState.RAN -> RunState.RAN
+        started -> RunState.UNKNOWN
+        else -> record.history
+    }
+    val freed = record.withTried(failed?.host).copy(
+        phase = RequestPhase.WAITING,
+        group = null,
+        running = null,
+        deliveredBefore = record.delivered,
+        history = history,
+        lastRefusal = failure
+    )
+    return state.withRequest(freed).step()
+        .thenEach(record.leases) { next, lease -> releaseLease(next, lease) }
+        .then { retryGroup(it, it.requests[record.id] ?: freed, failure) }
+}
+
+private fun retryGroup(
+    state: EntryState,
+    record: RequestRecord,
+    failure: Failure
+): Step<EntryState> {
+    val document = state.common.documents.inForce(record.terms.service)
+    val wait = document?.let { retryWait(state, record, it) }
+    return if (wait == null || record.outputLeft <= Tokens.ZERO) {
+        fail(state, record, ErrorKind.GROUP_UNAVAILABLE, failure.detail)
+    } else {
+        countRetry(state, record).then { waitFor(it, record, wait) }
+    }
+}
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeaseRecord.kt
@@ -0,0 +1,25 @@
+package org.gypsumroute.core
+
+import org.gypsumroute.api.GroupShare
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.SegmentHandle
+import org.gypsumroute.api.WorkKind
+
+/** A lease that this entry asked for and has not given back. */
+data class LeaseRecord(
+    val lease: LeaseId,
+    val request: RequestId,
+    val host: HostId,
+    val incarnation: IncarnationId,
+    val kind: WorkKind,
+    val stage: LeaseStage = LeaseStage.ASKED,
+    val answering: Boolean = false,
+    val share: GroupShare? = null,
+    val imports: List<SegmentHandle> = emptyList()
+)
+
+/** Progress of a lease as the entry knows it. */
+enum class LeaseStage { ASKED, GRANTED, DISPATCHED }
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PlacementPolicies.kt
@@ -0,0 +1,70 @@
+/*
+ * Orders of endpoints for a request.
+ */
+package org.gypsumroute.core
+
+import kotlin.time.Duration
+
+/** Placement functions for [Policies.placement]. */
+object PlacementPolicies {
+    /**
+     * Least expected wait first, in steps of 20 ms; then memory room, load in tenths of the
+     * offered memory, and prefix affinity, which also prefers the entry's own data centre. A cold
+     * endpoint offers its warm share of the memory. Endpoints that do not accept are left out.
+     */
+    val expectedWait: PlacementPolicy = { question ->
+        question.candidates.filter { accepts(it) }
+            .map { scoreOf(question, it) }
+            .sortedWith(
+                compareBy({ it.waitSteps }, { !it.fits }, { it.load }, { -it.affinity })
+            )
+            .map { it.candidate }
+    }
+
+    /** The usual load balancer: least requests outstanding, as this entry knows them. */
+    val leastOutstanding: PlacementPolicy = { question ->
+        question.candidates.filter { accepts(it) }.sortedWith(
+            compareBy({ it.pending }, { tieBreak(question, it) })
+        )
+    }
+
+    private class Score(
+        val candidate: PlacementCandidate,
+        val waitSteps: Long,
+        val fits: Boolean,
+        val load: Long,
+        val affinity: Double
+    )
+
+    private fun scoreOf(question: PlacementQuestion, candidate: PlacementCandidate): Score {
+        val summary = candidate.summary
+        val wait = summary?.expectedWait ?: Duration.ZERO
+        val memory = summary?.engineMemory?.count ?: 0
+        val offered = memory * (summary?.warmShare ?: 1.0)
+        val pending = candidate.pending * question.need.count
+        val used = memory - (summary?.freeMemory?.count ?: 0) + pending
+        val load = if (offered > 0) used * LOAD_STEPS / offered else 0.0
+        val prefix = question.prefix?.value ?: question.entropy
+        val weight = rendezvousWeight(prefix.toString(), candidate.record.host.value)
+        val own = candidate.record.dataCentre.value == question.ownDataCentre
+        return Score(
+            candidate = candidate,
+            waitSteps = wait.inWholeMilliseconds / WAIT_STEP_MILLISECONDS,
+            fits = offered - used >= question.need.count,
+            load = load.toLong(),
+            affinity = unitInterval(weight) + if (own) OWN_DATA_CENTRE_BONUS else 0.0
+        )
+    }
+
+    private fun accepts(candidate: PlacementCandidate): Boolean =
+        candidate.summary?.accepting != false
+
+    private fun tieBreak(question: PlacementQuestion, candidate: PlacementCandidate): Long =
+        rendezvousWeight(question.entropy.toString(), candidate.record.host.value)
+
+    private const val LOAD_STEPS = 10
+    private const val WAIT_STEP_MILLISECONDS = 20
+
+    // Moves the own data centre ahead in most ties, but not ahead of a strong prefix affinity.
+    private const val OWN_DATA_CENTRE_BONUS = 0.5
+}
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ReadersReducer.kt
@@ -0,0 +1,62 @@
+/*
+ * Callers that read their answers slower than the engine writes them.
+ *
+ * The engine is never held back: answers pile up in the entry until a budget is exceeded, and then
+ * the answer that has been stalled for longest is dropped.
+ */
+package org.gypsumroute.core
+
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.OrganisationId
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.Step
+
+/** Drops stalled answers until the budgets that [request] counts against are kept. */
+internal fun limitReaders(state: EntryState, request: RequestId): Step<EntryState> {
+    val organisation = state.buffers.held[request]?.organisation ?: return state.step()
+    val budget = state.requests[request]?.let {
+        state.common.documents.inForce(it.terms.service)?.limits?.answerBytesPerOrganisation
+    }
+    var step = state.step()
+    while (true) {
+        val victim = oldestStalled(step.state, organisation, budget) ?: return step
+        step = step.then { dropReader(it, victim) }
+    }
+}
+
+private fun oldestStalled(
+    state: EntryState,
+    organisation: OrganisationId,
+    budget: Bytes?
+): RequestRecord? {
+    val buffers = state.buffers
+    val organisationOver = budget != null && buffers.of(organisation) > budget
+    if (!organisationOver && buffers.total <= state.largestBufferedBytes) return null
+    return buffers.held.entries
+        .filter { (_, held) ->
+            held.stalledSince != null && (!organisationOver || held.organisation == organisation)
+        }
+        .sortedBy { it.value.stalledSince }
+        .firstNotNullOfOrNull { state.requests[it.key] }
+}
+
+private fun dropReader(state: EntryState, record: RequestRecord): Step<EntryState> {
+    val log = logEffect(
+        LogEvent.READER_STALLED,
+        "request" to record.id,
+        "held_bytes" to (state.buffers.held[record.id]?.answer ?: Bytes.ZERO)
+    )
+    return state.step(log)
+        .then { fail(it, record, ErrorKind.READER_TOO_SLOW, "the answer was not read in time") }
+}
+
+/** While draining, a caller that has not read its answer by its deadline holds up no stop. */
+internal fun dropLateReaders(state: EntryState): Step<EntryState> {
+    if (state.common.drain != DrainPhase.DRAINING) return state.step()
+    val late = state.requests.values.filter {
+        it.phase == RequestPhase.DELIVERING && it.deadline <= state.common.now
+    }
+    return state.step().thenEach(late) { next, record -> dropReader(next, record) }
+}
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RequestEnding.kt
@@ -0,0 +1,189 @@
+/*
+ * Ends of requests: failures, deadlines, and the return of leases.
+ */
+package org.gypsumroute.core
+
+import kotlin.time.DurationUnit
+import kotlinx.collections.immutable.persistentSetOf
+import org.gypsumroute.api.CallerEffect
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Metric
+import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.WorkKind
+
+/** Fails all requests whose deadline has come; runs before any other event is looked at. */
+internal fun expireRequests(state: EntryState): Step<EntryState> {
+    var step = state.step()
+    while (true) {
+        val due = step.state.deadlines.earliest
+        if (due == null || due > state.common.now) return step
+        step = step.then { expireFirst(it) }
+    }
+}
+
+private fun expireFirst(state: EntryState): Step<EntryState> {
+    val next = state.copy(deadlines = state.deadlines.withoutFirst())
+    val record = state.deadlines.first?.let { state.requests[it] }
+    val over = record == null || record.phase == RequestPhase.DELIVERING ||
+        record.deadline > state.common.now
+    return when {
+        over || record == null -> next.step()
+
+        record.terms.kind == WorkKind.ACTION && record.phase == RequestPhase.WAITING &&
+            record.lastRefusal == null ->
+            fail(next, record, ErrorKind.ACTION_OUTCOME_UNKNOWN, "the key's host is unreachable")
+
+        else -> fail(next, record, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed")
+    }
+}
+
+/**
+ * What is known about the work of a request. An action may have run under an earlier request with
+ * the same key, so only its agent's word says that it did not.
+ */
+internal fun runStateOf(state: EntryState, record: RequestRecord): RunState {
+    val dispatched = record.leases.any {
+        state.leases[it]?.stage == LeaseStage.DISPATCHED
+    }
+    return when {
+        record.answerBegan || record.delivered > Tokens.ZERO -> RunState.RAN
+        record.history == RunState.RAN -> RunState.RAN
+        dispatched || record.history == RunState.UNKNOWN -> RunState.UNKNOWN
+        record.terms.kind != WorkKind.ACTION -> RunState.NOT_RUN
+        else -> record.lastRefusal?.runState ?: RunState.UNKNOWN
+    }
+}
+
+/** Fails an admitted request of which nothing but this entry's own records tells the run state. */
+internal fun fail(
+    state: EntryState,
+    record: RequestRecord,
+    kind: ErrorKind,
+    detail: String
+): Step<EntryState> {
+    val runState = runStateOf(state, record)
+    return failWith(
+        state,
+        record,
+        adviseRetry(state, kind, detail, runState, record.terms.service)
+    )
+}
+
+internal fun failWith(
+    state: EntryState,
+    record: RequestRecord,
+    failure: Failure
+): Step<EntryState> {
+    val next = state.copy(
+        ended = state.ended.add(record.id),
+        buffers = state.buffers.remove(record.id)
+    )
+    val log = if (failure.runState == RunState.NOT_RUN) {
+        refusedLog(record.id, failure)
+    } else {
+        failedLog(LogEvent.REQUEST_FAILED, record.id, failure)
+    }
+    return next.step(CallerEffect.Fail(record.id, failure), log)
+        .then { endRequest(it, record, failure.kind.code) }
+}
+
+/** Removes a request, gives its leases back and counts its outcome. */
+internal fun endRequest(
+    state: EntryState,
+    record: RequestRecord,
+    outcome: String
+): Step<EntryState> {
+    val open = (state.openRequests[record.membership] ?: 1) - 1
+    val next = state.copy(
+        requests = state.requests.remove(record.id),
+        buffers = state.buffers.remove(record.id),
+        openRequests = if (open <= 0) {
+            state.openRequests.remove(record.membership)
+        } else {
+            state.openRequests.put(record.membership, open)
+        }
+    )
+    val labels = labelsOf(record).copy(outcome = outcome)
+    val duration = (state.common.now - record.arrivedAt).toDouble(DurationUnit.SECONDS)
+    return next.step(
+        RuntimeEffect.CancelTimer(TimerId.RequestDeadline(record.id)),
+        RuntimeEffect.CancelTimer(TimerId.Attempt(record.id)),
+        RuntimeEffect.Count(Metric.REQUESTS, labels),
+        RuntimeEffect.Observe(Metric.REQUEST_DURATION, labels, duration)
+    ).thenEach(record.leases) { reached, lease -> giveBack(reached, lease) }
+}
+
+/** Gives a lease back, except that a dispatched action is left to finish at its agent. */
+private fun giveBack(state: EntryState, lease: LeaseId): Step<EntryState> {
+    val record = state.leases[lease] ?: return state.step()
+    val runsOn = record.kind == WorkKind.ACTION && record.stage == LeaseStage.DISPATCHED
+    return if (runsOn) state.withoutLease(lease).step() else releaseLease(state, lease)
+}
+
+/** Tells the endpoint that the lease is not wanted any more, and forgets it. */
+internal fun releaseLease(state: EntryState, lease: LeaseId): Step<EntryState> {
+    val record = state.leases[lease] ?: return state.step()
+    val release = sendTo(state.common, record.host, PeerMessage.LeaseRelease(lease))
+    return Step(state.withoutLease(lease), listOfNotNull(release))
+}
+
+internal fun EntryState.withoutLease(lease: LeaseId): EntryState {
+    val record = leases[lease] ?: return this
+    val left = leasesByHost[record.host]?.remove(lease)
+    val request = requests[record.request]
+    return copy(
+        leases = leases.remove(lease),
+        leasesByHost = if (left.isNullOrEmpty()) {
+            leasesByHost.remove(record.host)
+        } else {
+            leasesByHost.put(record.host, left)
+        },
+        requests = if (request == null) {
+            requests
+        } else {
+            requests.put(request.id, request.copy(leases = request.leases.remove(lease)))
+        }
+    )
+}
+
+internal fun EntryState.withLease(lease: LeaseRecord): EntryState = copy(
+    leases = leases.put(lease.lease, lease),
+    leasesByHost = leasesByHost.put(
+        lease.host,
+        (leasesByHost[lease.host] ?: NO_LEASES).add(lease.lease)
+    )
+)
+
+internal fun EntryState.withRequest(record: RequestRecord): EntryState =
+    copy(requests = requests.put(record.id, record))
+
+internal fun labelsOf(record: RequestRecord) = MetricLabels(
+    service = record.terms.service,
+    lengthClass = record.terms.lengthClass,
+    organisation = record.terms.organisation,
+    dataCentre = record.dataCentre
+)
+
+internal fun refusedLog(request: RequestId, failure: Failure): Effect =
+    failedLog(LogEvent.REQUEST_REFUSED, request, failure)
+
+private fun failedLog(event: LogEvent, request: RequestId, failure: Failure): Effect = logEffect(
+    event,
+    "request" to request,
+    "error" to failure.kind.code,
+    "run_state" to failure.runState.code,
+    "detail" to failure.detail
+)
+
+private val NO_LEASES = persistentSetOf<LeaseId>()
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RetryPolicies.kt
@@ -0,0 +1,29 @@
+/*
+ * Decisions on retries.
+ */
+package org.gypsumroute.core
+
+import kotlin.time.Duration
+import org.gypsumroute.api.RetryRule
+
+/** Retry functions for [Policies.retry]. */
+object RetryPolicies {
+    /**
+     * Exponential backoff with jitter, while attempts and budget last and the wait ends before
+     * the deadline.
+     */
+    val budgeted: RetryDecision = { question ->
+        backoff(question.rule, question.attempt, question.entropy).takeIf {
+            question.attempt < question.rule.attempts &&
+                question.budget >= 1 && it < question.remaining
+        }
+    }
+}
+
+/** Doubles with each attempt up to the longest backoff; jitter takes away up to half. */
+internal fun backoff(rule: RetryRule, attempt: Int, entropy: Long): Duration {
+    val doubled = rule.firstBackoff * (1 shl (attempt - 1).coerceIn(0, LARGEST_DOUBLING))
+    return minOf(doubled, rule.longestBackoff) * (1 + unitInterval(entropy)) / 2
+}
+
+private const val LARGEST_DOUBLING = 16
