--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/AnswerBuffer.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/AnswerBuffer.kt
@@ -19,6 +19,7 @@
  * current lease count. One writer takes the bytes in order; it suspends while there are none.
  *
  * The text stays here until the request is forgotten, since another endpoint continues from it.
+ * Events count the tokens of the current lease alone.
  */
 internal class AnswerBuffer(private val request: RequestId, private val events: EventSink) {
     private val text = TextStore()
@@ -29,6 +30,7 @@
     private var next = 0
     private var end: DataFrame.AnswerEnd? = null
     private var tokens = 0L
+    private var leaseTokens = 0L
     private var taken = 0
     private var reportedStep = 0
     private var reportedHeld = 0
@@ -41,6 +43,7 @@
         lease = newLease
         leaseStart = text.size
         next = 0
+        leaseTokens = 0
         end = null
         early.clear()
     }
@@ -90,6 +93,10 @@
     fun textBefore(wanted: LeaseId): ByteArray =
         if (lease == wanted) text.copyOfRange(0, leaseStart) else ByteArray(0)
 
+    /** Whether the end mark and all chunks arrived. */
+    @get:Synchronized
+    val isWhole: Boolean get() = isComplete()
+
     @Synchronized
     fun heldBytes(): Bytes = Bytes((text.size - taken).toLong())
 
@@ -117,6 +124,7 @@
     private fun append(chunk: DataFrame.AnswerChunk) {
         text.append(chunk.bytes)
         tokens += chunk.tokens.count
+        leaseTokens += chunk.tokens.count
         next++
     }
 
@@ -135,7 +143,7 @@
         val current = lease ?: return
         if (!isComplete()) return
         reportedHeld = text.size - taken
-        events(AnswerEvent.Completed(request, current, Tokens(tokens), heldBytes()))
+        events(AnswerEvent.Completed(request, current, Tokens(leaseTokens), heldBytes()))
     }
 
     private fun reportProgress(current: LeaseId, marked: Boolean) {
@@ -146,7 +154,7 @@
         if (!marked && step == reportedStep && !caughtUp) return
         reportedStep = step
         reportedHeld = held
-        events(AnswerEvent.Progress(request, current, Tokens(tokens), heldBytes()))
+        events(AnswerEvent.Progress(request, current, Tokens(leaseTokens), heldBytes()))
     }
 
     private companion object {
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/Exchange.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/Exchange.kt
@@ -28,7 +28,7 @@
 
     /** The caller's body: the prompt's bytes, or the body of a plain call. */
     @Volatile
-    var body: ByteArray = ByteArray(0)
+    var body: ByteArray = NO_BYTES
 
     /** The coroutine that writes to the caller; cancelled if it is stuck after a failure. */
     @Volatile
@@ -54,8 +54,16 @@
         upload.getAndSet(job)?.cancel()
     }
 
+    fun releaseBody() {
+        body = NO_BYTES
+    }
+
     fun finish() {
         finished.complete(Unit)
         upload.getAndSet(null)?.cancel()
     }
+
+    private companion object {
+        val NO_BYTES = ByteArray(0)
+    }
 }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/Exchanges.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/Exchanges.kt
@@ -81,6 +81,8 @@
 
             else -> Unit
         }
+        // Nothing is uploaded again once the answer is here, however slowly the caller reads it.
+        if (exchange.answer.isWhole) exchange.releaseBody()
     }
 
     private fun fail(exchange: Exchange, effect: CallerEffect.Fail) {
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallRoutes.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallRoutes.kt
@@ -21,7 +21,7 @@
     private val events: EventSink
 ) {
     /** `POST /v1/services/{service}/calls/{path}`. */
-    suspend fun serve(call: ApplicationCall, exchange: Exchange, headers: CallerHeaders): RouteEnd {
+    suspend fun serve(call: ApplicationCall, exchange: Exchange, headers: CallerHeaders) {
         val request = exchange.request
         events(CallerEvent.Opened(request, headers.keyDigest, headers.declaredBytes))
         val accepted = exchange.bodyAccepted.await()
@@ -42,7 +42,7 @@
                 actionKey = headers.actionKey
             )
         )
-        return answer(call, exchange)
+        answer(call, exchange)
     }
 
     /** `POST /v1/services/{service}/action-keys`. */
@@ -50,8 +50,11 @@
         call: ApplicationCall,
         exchange: Exchange,
         headers: CallerHeaders
-    ): RouteEnd {
+    ) {
         val request = exchange.request
+        events(CallerEvent.Opened(request, headers.keyDigest, Bytes.ZERO))
+        val accepted = exchange.bodyAccepted.await()
+        if (accepted is Either.Left) return refuse(call, exchange, accepted.value)
         events(
             CallerEvent.ActionKeyWanted(
                 request,
@@ -69,11 +72,10 @@
                 HttpStatusCode.Created
             )
         }
-        return RouteEnd.ANSWERED
     }
 
     // A plain service's status comes with the end mark, so its answer is sent as a whole.
-    private suspend fun answer(call: ApplicationCall, exchange: Exchange): RouteEnd {
+    private suspend fun answer(call: ApplicationCall, exchange: Exchange) {
         val bytes = ByteArrayOutputStream()
         var portion = exchange.answer.take()
         while (portion is AnswerPortion.Text) {
@@ -84,7 +86,6 @@
         val mark = (portion as AnswerPortion.End).mark
         val type = runCatching { ContentType.parse(mark.contentType) }.getOrNull()
         call.respondBytes(bytes.toByteArray(), type, HttpStatusCode.fromValue(mark.status))
-        return RouteEnd.ANSWERED
     }
 
     private fun serviceOf(call: ApplicationCall) = ServiceId(call.parameters["service"].orEmpty())
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallersHttp.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallersHttp.kt
@@ -21,7 +21,6 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.time.Duration
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.job
 import kotlinx.serialization.json.add
@@ -29,6 +28,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
+import org.gypsumroute.api.Bytes
 import org.gypsumroute.api.CallerEvent
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.Failure
@@ -86,7 +86,7 @@
 
     private suspend fun serve(
         call: ApplicationCall,
-        work: suspend (Exchange, CallerHeaders) -> RouteEnd
+        work: suspend (Exchange, CallerHeaders) -> Unit
     ) {
         val given = call.request.header(REQUEST_ID_HEADER)
         val request = given?.takeIf(::isUsableRequestId)?.let(::RequestId) ?: newRequestId()
@@ -121,13 +121,13 @@
     private suspend fun serveOpened(
         call: ApplicationCall,
         exchange: Exchange,
-        work: suspend (Exchange, CallerHeaders) -> RouteEnd
+        work: suspend (Exchange, CallerHeaders) -> Unit
     ) {
         val request = exchange.request
         exchange.writer = currentCoroutineContext().job
         var left = true
         try {
-            val end = when (val headers = readHeaders(call)) {
+            when (val headers = readHeaders(call)) {
                 is Either.Left -> {
                     events(CallerEvent.Opened(request, "", NO_BYTES))
                     reject(
@@ -142,7 +142,7 @@
                 is Either.Right -> work(exchange, headers.value)
             }
             left = false
-            if (end == RouteEnd.ANSWERED) events(CallerEvent.AnswerTaken(request))
+            events(CallerEvent.AnswerTaken(request))
         } finally {
             // Any exception means that the answer did not reach the caller.
             if (left) events(CallerEvent.Left(request))
@@ -169,6 +169,6 @@
     private companion object {
         const val IDLE_SECONDS = 45
         const val STOP_MILLISECONDS = 200L
-        val NO_BYTES = org.gypsumroute.api.Bytes.ZERO
+        val NO_BYTES = Bytes.ZERO
     }
 }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CompletionRoute.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CompletionRoute.kt
@@ -24,7 +24,7 @@
     private val settings: CallersHttpSettings,
     private val events: EventSink
 ) {
-    suspend fun serve(call: ApplicationCall, exchange: Exchange, headers: CallerHeaders): RouteEnd {
+    suspend fun serve(call: ApplicationCall, exchange: Exchange, headers: CallerHeaders) {
         val request = exchange.request
         events(CallerEvent.Opened(request, headers.keyDigest, headers.declaredBytes))
         val accepted = exchange.bodyAccepted.await()
@@ -41,8 +41,9 @@
             is Either.Right -> decoded.value
         }
         exchange.body = completion.prompt.encodeToByteArray()
-        events(arrival(exchange, completion, headers))
-        return answer(call, exchange, completion.stream)
+        val arrived = arrival(exchange, completion, headers)
+        events(arrived)
+        answer(call, exchange, completion.stream, arrived.promptTokens)
     }
 
     private fun arrival(exchange: Exchange, completion: CompletionRequest, headers: CallerHeaders) =
@@ -61,10 +62,10 @@
         call: ApplicationCall,
         exchange: Exchange,
         stream: Boolean
-    ): RouteEnd {
+    ) {
         // The status line waits for the first portion, so that a refusal has its own status.
         val first = exchange.answer.take()
-        return when {
+        when {
             first is AnswerPortion.Failed -> refuse(call, exchange, first.failure)
 
             stream -> {
@@ -72,18 +73,18 @@
                 call.respondBytesWriter(ContentType.Text.EventStream) {
                     writeEvents(this, exchange, first)
                 }
-                RouteEnd.ANSWERED
             }
 
-            else -> answerWhole(call, exchange, first)
+            else -> answerWhole(call, exchange, first, promptTokens)
         }
     }
 
     private suspend fun answerWhole(
         call: ApplicationCall,
         exchange: Exchange,
-        first: AnswerPortion
-    ): RouteEnd {
+        first: AnswerPortion,
+        promptTokens: Tokens
+    ) {
         val text = ByteArrayOutputStream()
         var portion = first
         while (portion is AnswerPortion.Text) {
@@ -96,11 +97,10 @@
             exchange.request,
             text.toString(Charsets.UTF_8),
             end.mark.finishReason,
-            estimateTokens(exchange.body),
+            promptTokens,
             end.tokens
         )
         respondJson(call, content)
-        return RouteEnd.ANSWERED
     }
 }
 
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/RouteEnd.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/Refusals.kt
@@ -7,15 +7,6 @@
 import org.gypsumroute.entry.Exchange
 import org.gypsumroute.runtime.EventSink
 
-/** How a route ended. */
-internal enum class RouteEnd {
-    /** The caller got an answer or an error that the reducer knows about. */
-    ANSWERED,
-
-    /** The front end refused the request and has told the reducer. */
-    REJECTED
-}
-
 /** Refuses a request that no endpoint has seen, and tells the reducer. */
 internal suspend fun reject(
     call: ApplicationCall,
@@ -23,16 +14,14 @@
     events: EventSink,
     kind: ErrorKind,
     detail: String
-): RouteEnd {
+) {
     events(CallerEvent.Rejected(exchange.request, kind))
     respondError(call, Failure(kind, detail), exchange.request)
-    return RouteEnd.REJECTED
 }
 
 /** Answers with an error that the reducer decided on. */
-internal suspend fun refuse(call: ApplicationCall, exchange: Exchange, failure: Failure): RouteEnd {
+internal suspend fun refuse(call: ApplicationCall, exchange: Exchange, failure: Failure) {
     respondError(call, failure, exchange.request)
-    return RouteEnd.ANSWERED
 }
 
 /** What a caller may do about a body that could not be read. */
