Add the wire codec, the peer transport and the control thread

The processes need a way to exchange messages and to run the reducer. The wire module maps api types to CBOR records with integer labels and runs the handshake; the runtime module runs the control thread with timers, metrics, log lines and burn rates.

--- /dev/null
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/EventLogger.kt
@@ -0,0 +1,32 @@
+package org.gypsumroute.runtime
+
+import io.github.oshai.kotlinlogging.KLogger
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.LogField
+import org.gypsumroute.api.LogLevel
+
+/** Writes numbered log events; [LogOutput] decides their form. */
+class EventLogger(private val logger: KLogger = KotlinLogging.logger("gypsumroute")) {
+    /** Writes one line. Fields never hold keys, tokens or prompt text. */
+    fun log(event: LogEvent, fields: List<LogField> = emptyList()) {
+        logger.at(levelOf(event)) {
+            message = event.text
+            payload = buildMap {
+                put(NUMBER_FIELD, event.number)
+                put(EVENT_FIELD, event.name.lowercase())
+                fields.forEach { put(it.name, it.value) }
+            }
+        }
+    }
+
+    private fun levelOf(event: LogEvent): Level = when (event.level) {
+        LogLevel.INFO -> Level.INFO
+        LogLevel.WARN -> Level.WARN
+        LogLevel.ERROR -> Level.ERROR
+    }
+}
+
+internal const val NUMBER_FIELD = "number"
+internal const val EVENT_FIELD = "event"
