--- /dev/null
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
@@ -0,0 +1,2 @@
+package org.gypsumroute.agent
+fun runAgent(settings: AgentSettings): Int = TODO("$settings")
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
@@ -30,7 +30,7 @@
         .default(OPERATORS_PORT)
     private val largestBody by option(help = "Largest request body, in bytes")
         .long().restrictTo(1024L..LARGEST_BODY).default(DEFAULT_BODY)
-    private val bodyTime by option(help = "Longest upload when a caller gives no timeout, in seconds")
+    private val bodyTime by option(help = "Longest upload without a timeout, in seconds")
         .seconds(60.seconds)
     private val openRequests by option(help = "Largest number of requests at a time")
         .int().restrictTo(1..MOST_REQUESTS).default(DEFAULT_REQUESTS)
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/Main.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/Main.kt
@@ -1,12 +1,12 @@
 package org.gypsumroute.cli
 
+import com.github.ajalt.clikt.completion.completionOption
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.versionOption
-import com.github.ajalt.clikt.completion.completionOption
 import kotlin.system.exitProcess
 import org.gypsumroute.cli.load.LoadCommand
 
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/OptionTypes.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/OptionTypes.kt
@@ -28,8 +28,7 @@
         ?: fail("$text: accepted is http://address:port")
 }
 
-internal fun RawOption.port(): NullableOption<Int, Int> =
-    int().restrictTo(0..LARGEST_PORT)
+internal fun RawOption.port(): NullableOption<Int, Int> = int().restrictTo(0..LARGEST_PORT)
 
 /** A positive time in seconds with an optional fraction. */
 internal fun RawOption.seconds(default: Duration): OptionWithValues<Duration, Duration, Duration> =
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/TimingOptions.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/TimingOptions.kt
@@ -43,7 +43,7 @@
         .seconds(standard.orderDwell)
     private val orderStagger by option(help = "Time between weight loads of a pool, in seconds")
         .seconds(standard.orderStagger)
-    private val documentWatchers by option(help = "Readers of the configuration service per data centre")
+    private val documentWatchers by option(help = "Document readers per data centre")
         .int().restrictTo(1..MOST_WATCHERS).default(standard.documentWatchers)
     private val connectedEndpoints by option(help = "Endpoints that an entry connects to")
         .int().restrictTo(1..MOST_ENDPOINTS).default(standard.connectedEndpoints)
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DefaultPolicies.kt
@@ -0,0 +1,2 @@
+package org.gypsumroute.core
+val defaultPolicies: Policies get() = TODO()
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/AnswerBuffer.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/AnswerBuffer.kt
@@ -100,7 +100,7 @@
     @Synchronized
     fun heldBytes(): Bytes = Bytes((text.size - taken).toLong())
 
-    /** The next portion, or null if none has arrived; bytes already taken are not returned again. */
+    /** The next portion that was not taken before, or null if none has arrived. */
     @Synchronized
     fun tryTake(): AnswerPortion? {
         failure?.let { return AnswerPortion.Failed(it) }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
@@ -52,8 +52,10 @@
         exchanges,
         process::offer,
         ::newRequestId
-    ) { process.state.common.documents.accepted.values.filterNot { it.document.withdrawn }
-        .map { it.document.service } }
+    ) {
+        process.state.common.documents.accepted.values.filterNot { it.document.withdrawn }
+            .map { it.document.service }
+    }
     private val operators =
         OperatorsHttp(settings.operatorsAddress, settings.operatorsPort, process)
 
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallRoutes.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallRoutes.kt
@@ -46,11 +46,7 @@
     }
 
     /** `POST /v1/services/{service}/action-keys`. */
-    suspend fun serveKey(
-        call: ApplicationCall,
-        exchange: Exchange,
-        headers: CallerHeaders
-    ) {
+    suspend fun serveKey(call: ApplicationCall, exchange: Exchange, headers: CallerHeaders) {
         val request = exchange.request
         events(CallerEvent.Opened(request, headers.keyDigest, Bytes.ZERO))
         val accepted = exchange.bodyAccepted.await()
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CompletionRoute.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CompletionRoute.kt
@@ -61,7 +61,8 @@
     private suspend fun answer(
         call: ApplicationCall,
         exchange: Exchange,
-        stream: Boolean
+        stream: Boolean,
+        promptTokens: Tokens
     ) {
         // The status line waits for the first portion, so that a refusal has its own status.
         val first = exchange.answer.take()
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/NodeProcess.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/NodeProcess.kt
@@ -59,10 +59,11 @@
     var isReady = false
         private set
 
-    private val platform = PlatformDriver(settings, scope, ::offer)
-    private val links = PeerLinks(::offer, platform::decode) { connection, frame ->
-        traffic.data(connection, frame)
-    }
+    private val platform: PlatformDriver = PlatformDriver(settings, scope, ::offer)
+    private val links: PeerLinks =
+        PeerLinks(::offer, { platform.decode(it) }) { connection, frame ->
+            traffic.data(connection, frame)
+        }
     private val transport = PeerTransport(
         hello = initial.common.node.let {
             PeerHello(it.host, it.incarnation, it.role, it.dataCentre)
@@ -80,7 +81,7 @@
     private val control = ControlThread(
         initial = initial,
         handlers = EffectHandlers(
-            platform = platform::execute,
+            platform = { platform.execute(it) },
             peer = { effect ->
                 links.execute(effect, scope) { transport.connect(it.address, it.port) }
             },
@@ -90,7 +91,7 @@
             exit = finished
         ),
         timeSource = TimeSource.Monotonic,
-        entropy = random::nextLong,
+        entropy = { random.nextLong() },
         timerScope = scope,
         metrics = metrics,
         logger = logger
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PeerLinks.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PeerLinks.kt
@@ -73,8 +73,12 @@
         events(PeerEvent.Disconnected(connection.peer.host, connection.id, cause))
     }
 
-    /** Carries out an effect; [connect] opens a connection and throws IOException if it can't. */
-    fun execute(effect: PeerEffect, scope: CoroutineScope, connect: suspend (HostRecord) -> Unit) {
+    /** Carries out an effect; [connect] opens a connection, which then reports itself. */
+    fun execute(
+        effect: PeerEffect,
+        scope: CoroutineScope,
+        connect: suspend (HostRecord) -> Either<PeerTransportError, PeerConnection>
+    ) {
         when (effect) {
             is PeerEffect.Send -> byId[effect.connection]?.sendControl(effect.message)
 
@@ -87,7 +91,4 @@
             }
         }
     }
-
-    /** Closes all connections. */
-    fun closeAll() = byId.values.forEach { it.close() }
 }
