--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
@@ -1,2 +1,90 @@
 package org.gypsumroute.agent
-fun runAgent(settings: AgentSettings): Int = TODO("$settings")
+
+import kotlin.time.TimeSource
+import kotlinx.coroutines.runBlocking
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.core.ActionSecret
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.NodeIdentity
+import org.gypsumroute.core.defaultPolicies
+import org.gypsumroute.platform.EngineClient
+import org.gypsumroute.platform.PlainServiceClient
+import org.gypsumroute.process.NodeProcess
+import org.gypsumroute.process.StopSignals
+import org.gypsumroute.process.TrafficHandlers
+import org.gypsumroute.process.addressOf
+import org.gypsumroute.process.newIncarnation
+import org.gypsumroute.process.newSecret
+import org.gypsumroute.runtime.LogOutput
+
+/** An agent process; several may live in one JVM for tests. */
+class AgentProcess(private val settings: AgentSettings, finished: (Int) -> Unit) {
+    private val identity = NodeIdentity(
+        host = settings.node.host,
+        incarnation = newIncarnation(),
+        role = NodeRole.AGENT,
+        region = settings.node.region,
+        dataCentre = settings.node.dataCentre,
+        pool = settings.pool
+    )
+    private val process: NodeProcess = NodeProcess(
+        settings.node,
+        AgentState(
+            common = CommonState(identity, settings.node.timings, defaultPolicies),
+            actionSecret = ActionSecret(newSecret())
+        ),
+        TrafficHandlers(
+            engine = { driver.execute(it) },
+            data = { connection, frame -> leases.receive(connection, frame) }
+        ),
+        finished
+    )
+    private val leases: Leases = Leases(
+        scope = process.scope,
+        events = process::offer,
+        unexpectedTime = settings.node.timings.leaseTime,
+        connectionTo = process::connectionTo
+    )
+    private val engine = (settings.backEnd as? BackEnd.Engine)?.let {
+        val client = EngineClient(addressOf(it.url))
+        EngineCalls(client, process.scope, process::offer, TimeSource.Monotonic)
+    }
+    private val service = (settings.backEnd as? BackEnd.PlainService)?.let {
+        ServiceCalls(PlainServiceClient(addressOf(it.url)), process.scope, process::offer)
+    }
+    private val driver: EngineDriver = EngineDriver(leases, engine, service, process::offer)
+
+    /** The port on which entries connect; known after [start]. */
+    var port = 0
+        private set
+
+    /** Starts to work. Throws IOException if the port is in use, for example by a predecessor. */
+    fun start() {
+        port = runBlocking { process.listen(settings.listenAddress, settings.listenPort) }
+        process.start()
+    }
+
+    /** Begins a planned stop. */
+    fun drain() = process.drain()
+
+    /** Closes everything at once. */
+    fun stop() {
+        process.stop()
+        engine?.close()
+        service?.close()
+    }
+}
+
+/** Runs an agent until it is stopped and returns the exit code. */
+fun runAgent(settings: AgentSettings): Int {
+    LogOutput.configure(settings.node.logFormat, settings.node.host)
+    lateinit var signals: StopSignals
+    val process = AgentProcess(settings) { signals.finished(it) }
+    signals = StopSignals(settings.node.drainLimit, process::drain)
+    signals.install()
+    process.start()
+    val code = signals.await()
+    process.stop()
+    return code
+}
--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/EngineDriver.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/EngineDriver.kt
@@ -74,7 +74,7 @@
     }
 
     private fun cancel(effect: EngineEffect.CancelStream) {
-        leases.find(effect.lease)?.abandonCall()
+        leases.find(effect.lease)?.abandon()
         engine?.cancel(effect.lease)
     }
 
--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/LeaseBody.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/LeaseBody.kt
@@ -30,18 +30,9 @@
         return isComplete
     }
 
-    /** The whole body; empty before it is complete. */
+    /** The whole body as parts that follow each other; empty before it is complete. */
     @Synchronized
-    fun bytes(): ByteArray {
-        if (!isComplete) return ByteArray(0)
-        val whole = ByteArray(parts.sumOf { it?.size ?: 0 })
-        var position = 0
-        for (part in parts.filterNotNull()) {
-            part.copyInto(whole, position)
-            position += part.size
-        }
-        return whole
-    }
+    fun parts(): List<ByteArray> = if (isComplete) parts.filterNotNull() else emptyList()
 
     /** Frees the bytes once they are with the engine. */
     @Synchronized
--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/LeaseWork.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/LeaseWork.kt
@@ -18,7 +18,7 @@
 
     private var connection: PeerConnection? = null
     private var sender: Job? = null
-    private var engineCall: Job? = null
+    private var stopReading: () -> Unit = { }
     private var expected = false
     private var bodyReported = false
 
@@ -66,21 +66,29 @@
         send(current, next)
     }
 
-    /** Remembers the running call to the engine, so that it can be abandoned. */
+    /** Whether nobody wants what the engine still delivers. */
+    @get:Synchronized
+    var isAbandoned = false
+        private set
+
+    /** Remembers how to stop reading from the engine. */
     @Synchronized
-    fun runs(call: Job) {
-        engineCall = call
+    fun reads(stop: () -> Unit) {
+        if (isAbandoned) stop() else stopReading = stop
     }
 
+    /** Stops reading from the engine; cancelling its work is an order of its own. */
     @Synchronized
-    fun abandonCall() {
-        engineCall?.cancel()
+    fun abandon() {
+        isAbandoned = true
+        stopReading()
     }
 
+    /** Stops sending and reading. */
     @Synchronized
     fun stop() {
         sender?.cancel()
-        engineCall?.cancel()
+        abandon()
     }
 
     private fun send(target: PeerConnection, from: Int) {
--- a/gypsumroute-agent/src/test/kotlin/org/gypsumroute/agent/LeasesTest.kt
+++ b/gypsumroute-agent/src/test/kotlin/org/gypsumroute/agent/LeasesTest.kt
@@ -4,7 +4,6 @@
  */
 package org.gypsumroute.agent
 
-import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 import kotlin.time.Duration.Companion.seconds
@@ -33,8 +32,8 @@
         leases.expect(LEASE)
         leases.expect(LEASE)
         assertEquals(listOf<Event>(EngineEvent.BodyReceived(LEASE)), reported)
-        val body = assertNotNull(leases.find(LEASE)).body.bytes()
-        assertContentEquals("01234".encodeToByteArray(), body)
+        val body = assertNotNull(leases.find(LEASE)).body.parts()
+        assertEquals("01234", body.joinToString("") { it.decodeToString() })
     }
 
     @Test
--- /dev/null
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/Addresses.kt
@@ -0,0 +1,6 @@
+package org.gypsumroute.process
+
+import java.net.URI
+
+/** Host and port of a URL of the form `http://address:port`. */
+fun addressOf(url: String): String = URI(url).authority
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
@@ -1,17 +1,100 @@
+/*
+ * Reads of the configuration service and the host list. Documents are decoded here, at the edge.
+ */
 package org.gypsumroute.process
 
+import arrow.core.Either
+import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 import org.gypsumroute.api.DocumentContent
 import org.gypsumroute.api.DocumentReading
 import org.gypsumroute.api.PlatformEffect
+import org.gypsumroute.api.PlatformEvent
+import org.gypsumroute.platform.ClientFailure
+import org.gypsumroute.platform.ConfigurationClient
+import org.gypsumroute.platform.ConfigurationListing
+import org.gypsumroute.platform.DocumentYamlCodec
+import org.gypsumroute.platform.HostListClient
+import org.gypsumroute.platform.HostListing
 import org.gypsumroute.runtime.EventSink
 
+/** Carries out platform effects; each kind has one call at a time. */
 internal class PlatformDriver(
     settings: NodeSettings,
     private val scope: CoroutineScope,
     private val events: EventSink
-) {
-    fun decode(content: DocumentContent): DocumentReading = TODO("$content")
-    fun execute(effect: PlatformEffect): Unit = TODO("$effect $scope $events")
-    fun close() = Unit
+) : AutoCloseable {
+    private val configuration = ConfigurationClient(addressOf(settings.configurationUrl))
+    private val hostList = HostListClient(addressOf(settings.hostListUrl))
+    private val knownEtags = ConcurrentHashMap<String, String>()
+
+    @Volatile
+    private var documentsSequence = 0L
+
+    @Volatile
+    private var hostsSequence = 0L
+
+    fun decode(content: DocumentContent): DocumentReading = DocumentYamlCodec.read(content.bytes)
+
+    fun execute(effect: PlatformEffect) {
+        scope.launch {
+            when (effect) {
+                is PlatformEffect.ReadDocuments -> finishRead(readListed(configuration.list()))
+                is PlatformEffect.WatchDocuments -> finishRead(watchDocuments())
+                is PlatformEffect.ReadHosts -> readHosts()
+            }
+        }
+    }
+
+    override fun close() {
+        configuration.close()
+        hostList.close()
+    }
+
+    private fun finishRead(succeeded: Boolean) =
+        events(PlatformEvent.ConfigurationReadEnded(succeeded))
+
+    private suspend fun watchDocuments(): Boolean =
+        when (val change = configuration.watch(documentsSequence)) {
+            is Either.Left -> false
+
+            is Either.Right -> change.value?.let { readListed(Either.Right(it)) } ?: true
+        }
+
+    private suspend fun readListed(
+        listing: Either<ClientFailure, ConfigurationListing>
+    ): Boolean {
+        val listed = listing.getOrNull() ?: return false
+        val changed = listed.documents.filter { knownEtags[it.name] != it.etag }
+        val complete = changed.map { readDocument(it.name, it.etag) }.all { it }
+        if (complete) documentsSequence = listed.sequence
+        return complete
+    }
+
+    private suspend fun readDocument(name: String, etag: String): Boolean {
+        val bytes = configuration.read(name).getOrNull() ?: return false
+        events(PlatformEvent.DocumentRead(null, DocumentYamlCodec.read(bytes)))
+        knownEtags[name] = etag
+        return true
+    }
+
+    private suspend fun readHosts() {
+        var listing: Either<ClientFailure, HostListing?>
+        do {
+            listing = hostList.read(hostsSequence)
+        } while (listing.isRight() && listing.getOrNull() == null)
+        when (listing) {
+            is Either.Left -> {
+                // A host list that starts anew counts from the beginning.
+                hostsSequence = 0
+                events(PlatformEvent.HostsUnavailable(listing.value.cause))
+            }
+
+            is Either.Right -> listing.value?.let {
+                hostsSequence = it.sequence
+                events(PlatformEvent.HostsRead(it.hosts))
+            }
+        }
+    }
 }
