--- /dev/null
+++ b/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/ConfigurationListing.kt
@@ -0,0 +1,4 @@
+package org.gypsumroute.platform
+
+/** All documents of the configuration service at one [sequence] of its changes. */
+data class ConfigurationListing(val sequence: Long, val documents: List<ListedDocument>)
--- /dev/null
+++ b/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/PlainServiceAnswer.kt
@@ -0,0 +1,4 @@
+package org.gypsumroute.platform
+
+/** A plain service's answer, whatever its status. */
+class PlainServiceAnswer(val status: Int, val contentType: String?, val body: ByteArray)
--- a/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/StandInMain.kt
+++ b/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/StandInMain.kt
@@ -21,14 +21,19 @@
 /** Entry point of the executable `gypsumroute-standins`. */
 object StandInMain {
     @JvmStatic
-    fun main(arguments: Array<String>) = StandInCommand()
-        .subcommands(
-            EngineCommand(),
-            PlainServiceCommand(),
-            ConfigurationCommand(),
-            HostListCommand()
-        )
-        .main(arguments)
+    fun main(arguments: Array<String>) {
+        // Dozens of stand-ins share a machine; by default each would start up to 64 threads.
+        System.setProperty("kotlinx.coroutines.io.parallelism", "4")
+        System.setProperty("kotlinx.coroutines.scheduler.core.pool.size", "2")
+        StandInCommand()
+            .subcommands(
+                EngineCommand(),
+                PlainServiceCommand(),
+                ConfigurationCommand(),
+                HostListCommand()
+            )
+            .main(arguments)
+    }
 }
 
 private class StandInCommand : CliktCommand(name = "gypsumroute-standins") {
--- a/gypsumroute-test/src/main/shell/launcher.sh
+++ b/gypsumroute-test/src/main/shell/launcher.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
 # Launcher at the head of the executable file; the jar follows. Replaces itself by the JVM, so
 # that signals reach it. Tests start dozens of these processes, hence the small memory settings.
-exec java ${GYPSUMROUTE_JAVA_OPTIONS:--Xmx48m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss512k} \
+export MALLOC_ARENA_MAX=1
+exec java ${GYPSUMROUTE_JAVA_OPTIONS:--Xmx48m -Xms8m -Xmn6m -XX:+UseSerialGC \
+    -XX:TieredStopAtLevel=1 -Xss512k} \
     -jar "$0" "$@"
