Add the agent's reducers: leases, ledger, queue, engine, actions

The agent had no decisions of its own. Adds leases with ordered due times, the memory ledger with its engine-side phases, grants and the queue, warmth, actions, reconciliation with the engine's reports, orders to the engine and the end of a drain.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AgentReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AgentReducer.kt
@@ -1,9 +1,79 @@
+/*
+ * The agent's part of the reducer: sends each event to the concerns that it touches.
+ *
+ * Expired leases go first, on the clock reading that precedes each event, so that a process that
+ * was paused drops them before it reads what arrived meanwhile.
+ */
 package org.gypsumroute.core
 
+import org.gypsumroute.api.EngineEvent
 import org.gypsumroute.api.Event
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.PeerEvent
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
 
 internal fun reduceAgent(state: AgentState, event: Event): Step<AgentState> =
     reduceCommon(state.common, event)
         .then { updateReadiness(it) }
         .map { state.copy(common = it) }
+        .then { reduceAgentEvent(it, event) }
+        .then { if (event is RuntimeEvent.ClockRead) it.step() else settle(it) }
+
+private fun reduceAgentEvent(state: AgentState, event: Event): Step<AgentState> = when (event) {
+    is RuntimeEvent.ClockRead -> expireLeases(state)
+    is RuntimeEvent.Started -> checkEngine(state)
+    is RuntimeEvent.TimerFired -> reduceAgentTimer(state, event.timer)
+    is PeerEvent.Connected -> dropEarlierIncarnation(state, event)
+    is PeerEvent.Received -> reduceAgentMessage(state, event)
+    is EngineEvent -> reduceEngineEvent(state, event)
+    else -> state.step()
+}
+
+/** What may follow from any event: refusals of queued work, grants, the end of a drain. */
+private fun settle(state: AgentState): Step<AgentState> =
+    refuseUnservable(state).then { grantWaiting(it) }.then { finishDrain(it) }
+
+private fun reduceAgentTimer(state: AgentState, timer: TimerId): Step<AgentState> = when (timer) {
+    is TimerId.EngineCheck -> checkEngine(state)
+    is TimerId.EngineOrder -> reduceOrderTimer(state)
+    else -> state.step()
+}
+
+/** Messages on a connection that was replaced are dropped; the entry repeats what matters. */
+private fun reduceAgentMessage(state: AgentState, event: PeerEvent.Received): Step<AgentState> {
+    if (state.common.peers[event.peer]?.connection != event.connection) return state.step()
+    return when (val message = event.message) {
+        is PeerMessage.Heartbeat -> answerHeartbeat(state, event.peer)
+        is PeerMessage.GrantRequest -> requestGrant(state, event.peer, message.order)
+        is PeerMessage.Dispatch -> dispatch(state, event.peer, message)
+        is PeerMessage.LeaseRenewal -> renewLeases(state, event.peer, message.leases)
+        is PeerMessage.LeaseRelease -> releaseLease(state, event.peer, message.lease)
+        is PeerMessage.ActionKeyRequest -> issueActionKey(state, event.peer, message)
+        else -> state.step()
+    }
+}
+
+private fun reduceEngineEvent(state: AgentState, event: EngineEvent): Step<AgentState> =
+    when (event) {
+        is EngineEvent.StateRead -> reduceStateRead(state, event.state)
+        is EngineEvent.Unreachable -> reduceUnreachable(state, event.cause)
+        is EngineEvent.BodyReceived -> startWork(state, event.lease)
+        is EngineEvent.FirstToken -> reduceFirstToken(state, event)
+        is EngineEvent.StreamEnded -> reduceStreamEnded(state, event.lease)
+        is EngineEvent.SegmentExported -> reduceSegmentExported(state, event)
+        is EngineEvent.StreamFailed -> reduceStreamFailed(state, event)
+        is EngineEvent.CancelConfirmed -> reduceCancelConfirmed(state, event.lease)
+        is EngineEvent.HandleReleased -> reduceHandleReleased(state, event.handle)
+        is EngineEvent.CallEnded -> reduceCallEnded(state, event)
+        is EngineEvent.CallFailed -> reduceCallFailed(state, event)
+        is EngineEvent.OrderAnswered -> reduceOrderAnswered(state, event)
+        is EngineEvent.CacheChanged -> state.step()
+    }
+
+private fun answerHeartbeat(state: AgentState, peer: HostId): Step<AgentState> {
+    val answer = PeerMessage.Heartbeat(state.common.documents.hash, endpointSummary(state))
+    return Step(state, listOfNotNull(sendTo(state.common, peer, answer)))
+}
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DispatchReducer.kt
@@ -0,0 +1,106 @@
+/*
+ * From a granted lease to the engine: dispatch, arrival of the prompt, start of the work.
+ */
+package org.gypsumroute.core
+
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EngineEffect
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.WorkKind
+
+internal fun dispatch(
+    state: AgentState,
+    peer: HostId,
+    message: PeerMessage.Dispatch
+): Step<AgentState> {
+    val lease = state.leaseOf(peer, message.lease)
+    return when (lease?.phase) {
+        null -> Step(state, listOfNotNull(sendTo(state.common, peer, unknownLease(message.lease))))
+        LeasePhase.QUEUED -> state.step()
+        LeasePhase.GRANTED -> dispatchGranted(state, lease, message)
+        LeasePhase.RECEIVING -> receive(state, lease, message)
+        LeasePhase.RUNNING, LeasePhase.EXPORTED, LeasePhase.ENDED -> renewLease(state, lease)
+    }
+}
+
+private fun dispatchGranted(
+    state: AgentState,
+    lease: Lease,
+    message: PeerMessage.Dispatch
+): Step<AgentState> {
+    val dispatched = lease.copy(
+        phase = LeasePhase.RECEIVING,
+        outputLimit = minOf(lease.order.outputLimit, message.outputLimit),
+        imports = message.imports
+    )
+    return if (lease.replays == null) {
+        receive(state, dispatched, message)
+    } else {
+        replay(state, dispatched, lease.replays)
+    }
+}
+
+/** Also answers a repeated dispatch on a fresh connection; the traffic side ignores duplicates. */
+private fun receive(
+    state: AgentState,
+    lease: Lease,
+    message: PeerMessage.Dispatch
+): Step<AgentState> = renewLease(state, lease).then {
+    it.step(EngineEffect.ReceiveBody(lease.id, message.bodyBytes))
+}
+
+/** Sends the recorded answer of an action, unless its record went since the grant. */
+private fun replay(state: AgentState, lease: Lease, recorded: LeaseId): Step<AgentState> {
+    val record = lease.sequence(state)?.let { state.actions.records[it] }
+    if (record?.lease == recorded && record.phase == ActionPhase.DONE) {
+        return renewLease(state, lease.copy(phase = LeasePhase.ENDED)).then {
+            it.step(EngineEffect.ReplayAnswer(recorded, lease.id))
+        }
+    }
+    val failure = Failure(ErrorKind.ACTION_OUTCOME_UNKNOWN, "the action's record was dropped")
+    return endLease(state, lease).then { Step(it, it.workFailed(lease, failure)) }
+}
+
+/** Hands the work to the engine or the plain service once its whole body is here. */
+internal fun startWork(state: AgentState, id: LeaseId): Step<AgentState> {
+    val lease = state.leases[id]?.takeIf { it.phase == LeasePhase.RECEIVING }
+    val reservation = state.ledger[id]?.takeIf { it.hold == EngineHold.PLANNED }
+    if (lease == null || reservation == null) return state.step()
+    val inPrefill = state.ledger.reservations.values.sumOf {
+        if (it.hold == EngineHold.OPEN && it.prefilling) it.prompt.count else 0L
+    }
+    val opened = reservation.held(EngineHold.OPEN, state.common.now).copy(
+        openedAt = state.common.now,
+        prefillMark = state.ledger.opened - inPrefill
+    )
+    val ledger = state.ledger.put(opened)
+    val started = state.copy(
+        ledger = ledger.copy(opened = ledger.opened + opened.prompt.count),
+        actions = opened.action?.let { state.actions.running(it, id) } ?: state.actions
+    )
+    return putLease(started, lease.copy(phase = LeasePhase.RUNNING)).then {
+        it.step(workEffect(lease, opened.lengthClass))
+    }
+}
+
+private fun workEffect(lease: Lease, priority: Int): Effect = when (lease.order.kind) {
+    WorkKind.GENERATION ->
+        EngineEffect.OpenStream(lease.id, lease.outputLimit, priority, lease.imports)
+
+    WorkKind.SEGMENT -> EngineEffect.PrefillSegment(lease.id, priority, lease.imports)
+
+    WorkKind.CALL, WorkKind.ACTION ->
+        EngineEffect.CallService(lease.id, lease.order.path.orEmpty())
+}
+
+/** Withdraws granted work that the engine has not seen, because the endpoint turned cold. */
+internal fun revoke(state: AgentState, lease: Lease): Step<AgentState> {
+    val failure = Failure(ErrorKind.ENGINE_REFUSED, "the engine turned cold", RunState.NOT_RUN)
+    return endLease(state, lease).then { Step(it, it.workFailed(lease, failure)) }
+}
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EndpointSummaries.kt
@@ -0,0 +1,74 @@
+/*
+ * What the agent tells entries about its endpoint.
+ */
+package org.gypsumroute.core
+
+import kotlin.time.Duration
+import org.gypsumroute.api.EndpointSummary
+import org.gypsumroute.api.LengthClass
+import org.gypsumroute.api.LengthClassName
+import org.gypsumroute.api.ServiceDocument
+import org.gypsumroute.api.ServiceKind
+import org.gypsumroute.api.Tokens
+
+internal fun endpointSummary(state: AgentState): EndpointSummary {
+    val document = servedDocument(state)
+    val engine = state.engine.state
+    return EndpointSummary(
+        engineMemory = engine?.memory ?: Tokens.ZERO,
+        freeMemory = Tokens(maxOf(state.freeMemory(), 0)),
+        warmShare = document?.let { state.shareFor(it) } ?: 0.0,
+        runningStreams = state.ledger.running,
+        queued = state.queue.size,
+        expectedWait = document?.let { expectedWait(state, it, Int.MAX_VALUE) } ?: Duration.ZERO,
+        accepting = document != null && accepts(state, document)
+    )
+}
+
+private fun accepts(state: AgentState, document: ServiceDocument): Boolean =
+    !isDraining(state) && (document.kind == ServiceKind.PLAIN || serves(state, document))
+
+private fun serves(state: AgentState, document: ServiceDocument): Boolean =
+    state.engine.reachable && !state.orders.wanted && holdsModel(state, document)
+
+internal fun holdsModel(state: AgentState, document: ServiceDocument): Boolean =
+    document.model == null || document.model == state.engine.state?.loaded
+
+/** Documents in force for this endpoint's pool, by name. */
+internal fun poolDocuments(common: CommonState): List<ServiceDocument> =
+    common.documents.accepted.values
+        .map { it.document }
+        .filter { !it.withdrawn && it.pool == common.node.pool }
+        .sortedBy { it.service.value }
+
+/** The document of the service that the endpoint serves now, or the first of its pool. */
+internal fun servedDocument(state: AgentState): ServiceDocument? {
+    val documents = poolDocuments(state.common)
+    return documents.find { holdsModel(state, it) } ?: documents.firstOrNull()
+}
+
+/**
+ * Expected wait of new work of the class at [index]: the work ahead of it in the queue shares the
+ * slots, each held for the average time. Before any work ended, the prompts ahead are counted.
+ */
+internal fun expectedWait(state: AgentState, document: ServiceDocument, index: Int): Duration {
+    val limit = state.slotLimit(document)
+    val ahead = state.queue.mapNotNull { state.leases[it]?.order }
+        .filter { classIndex(document, it) <= index }
+    if (ahead.isEmpty() && state.ledger.running < limit) return Duration.ZERO
+    val hold = state.averageHold
+    if (hold != null) return hold * (ahead.size + 1) / limit
+    val prompts = ahead.sumOf { it.promptTokens.count } + state.ledger.prefilling.count
+    return state.common.policies.prefillEstimate(Tokens(prompts), document.ramp)
+}
+
+internal fun lengthClass(document: ServiceDocument, index: Int): LengthClass =
+    document.lengthClasses.getOrNull(index) ?: LengthClass(
+        name = LengthClassName("all"),
+        upTo = Tokens(Long.MAX_VALUE),
+        reservedShare = 0.0,
+        firstTokenObjective = document.deadline.longest,
+        betweenTokensObjective = document.deadline.longest,
+        objectiveShare = 0.0,
+        longestWait = document.deadline.longest
+    )
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EngineWork.kt
@@ -0,0 +1,215 @@
+/*
+ * What the engine and the plain service report about work under way.
+ *
+ * A reservation ends here only on the engine's word that it holds nothing of the work any more.
+ */
+package org.gypsumroute.core
+
+import kotlin.time.Duration
+import org.gypsumroute.api.EngineEffect
+import org.gypsumroute.api.EngineEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.HandleId
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+
+/** Cancels a stream, prefill or repeatable call; its reservation waits for the confirmation. */
+internal fun cancel(state: AgentState, id: LeaseId): Step<AgentState> {
+    val reservation = state.ledger[id] ?: return state.step()
+    val cancelled = reservation.held(EngineHold.CANCELLING, state.common.now)
+    return state.copy(ledger = state.ledger.put(cancelled)).step(EngineEffect.CancelStream(id))
+}
+
+/** Releases the exported cache of a segment; its reservation waits for the confirmation. */
+internal fun releaseHandle(state: AgentState, id: LeaseId): Step<AgentState> {
+    val reservation = state.ledger[id] ?: return state.step()
+    val handle = reservation.handle ?: return state.step()
+    val released = reservation.held(EngineHold.RELEASING, state.common.now)
+    return state.copy(ledger = state.ledger.put(released)).step(EngineEffect.ReleaseHandle(handle))
+}
+
+internal fun reduceFirstToken(state: AgentState, event: EngineEvent.FirstToken): Step<AgentState> {
+    val reservation = state.ledger[event.lease] ?: return state.step()
+    val open = reservation.hold == EngineHold.OPEN || reservation.hold == EngineHold.CANCELLING
+    if (!open || !reservation.prefilling) return state.step()
+    val next = state.copy(ledger = state.ledger.put(reservation.copy(prefilling = false)))
+    return judgeWarmth(next, reservation, event.elapsed)
+}
+
+internal fun reduceStreamEnded(state: AgentState, id: LeaseId): Step<AgentState> {
+    val hold = state.ledger[id]?.hold
+    if (hold != EngineHold.OPEN && hold != EngineHold.CANCELLING) return state.step()
+    return keepAnswer(state, id).then { free(it, id) }
+}
+
+internal fun reduceSegmentExported(
+    state: AgentState,
+    event: EngineEvent.SegmentExported
+): Step<AgentState> {
+    val handle = event.handle.handle
+    val reservation = state.ledger[event.lease]
+    return when (reservation?.hold) {
+        EngineHold.OPEN -> segmentReady(state, reservation, event)
+
+        EngineHold.CANCELLING -> {
+            val held = reservation.copy(handle = handle, prefilling = false)
+            releaseHandle(state.copy(ledger = state.ledger.put(held)), event.lease)
+        }
+
+        EngineHold.EXPORTED, EngineHold.RELEASING -> state.step()
+
+        EngineHold.PLANNED, null -> state.step(EngineEffect.ReleaseHandle(handle))
+    }
+}
+
+private fun segmentReady(
+    state: AgentState,
+    reservation: Reservation,
+    event: EngineEvent.SegmentExported
+): Step<AgentState> {
+    val exported = reservation.held(EngineHold.EXPORTED, state.common.now)
+        .copy(handle = event.handle.handle, prefilling = false)
+    val next = state.copy(ledger = state.ledger.put(exported))
+    val lease = state.leases[event.lease] ?: return releaseHandle(next, event.lease)
+    return putLease(next, lease.copy(phase = LeasePhase.EXPORTED))
+        .then {
+            Step(it, it.toEntry(lease, PeerMessage.SegmentReady(lease.id, event.handle)))
+        }
+        .then { judgeWarmth(it, reservation, event.elapsed) }
+}
+
+internal fun reduceStreamFailed(
+    state: AgentState,
+    event: EngineEvent.StreamFailed
+): Step<AgentState> {
+    val id = event.lease
+    val reservation = state.ledger[id] ?: return state.step()
+    val lease = state.leases[id]
+    val seen = event.reached && reservation.hold != EngineHold.PLANNED
+    return when (reservation.hold) {
+        EngineHold.EXPORTED, EngineHold.RELEASING -> state.step()
+
+        EngineHold.CANCELLING -> if (seen) state.step() else free(state, id)
+
+        EngineHold.OPEN, EngineHold.PLANNED -> {
+            val ended = state.copy(leases = state.leases.remove(id))
+                .step(RuntimeEffect.CancelTimer(TimerId.Lease(id)))
+                .then { if (seen) cancel(it, id) else free(it, id) }
+            val messages = lease?.let { state.workFailed(it, streamFailure(seen, event.cause)) }
+            ended.then { Step(it, messages.orEmpty()) }.then { issueRead(it) }
+        }
+    }
+}
+
+private fun streamFailure(reached: Boolean, cause: String): Failure = if (reached) {
+    Failure(ErrorKind.ENGINE_FAILED, cause, RunState.RAN)
+} else {
+    Failure(ErrorKind.ENGINE_REFUSED, cause, RunState.NOT_RUN)
+}
+
+/** The engine holds nothing of a cancelled stream any more. */
+internal fun reduceCancelConfirmed(state: AgentState, id: LeaseId): Step<AgentState> {
+    val orphan = state.copy(
+        engine = state.engine.copy(
+            orphanStreams = state.engine.orphanStreams.remove(id),
+            gone = state.engine.gone.put(id, state.common.now)
+        )
+    )
+    return when (state.ledger[id]?.hold) {
+        EngineHold.CANCELLING -> free(state, id)
+        EngineHold.OPEN -> loseStream(state, id, "the engine dropped the stream")
+        null -> orphan.step()
+        else -> state.step()
+    }
+}
+
+/** Frees a stream that the engine lost, and fails its lease. */
+internal fun loseStream(state: AgentState, id: LeaseId, cause: String): Step<AgentState> {
+    val lease = state.leases[id] ?: return free(state, id)
+    return state.copy(leases = state.leases.remove(id))
+        .step(RuntimeEffect.CancelTimer(TimerId.Lease(id)))
+        .then { free(it, id) }
+        .then {
+            Step(it, it.workFailed(lease, Failure(ErrorKind.ENGINE_FAILED, cause, RunState.RAN)))
+        }
+}
+
+internal fun reduceHandleReleased(state: AgentState, handle: HandleId): Step<AgentState> {
+    val id = state.ledger.handles[handle]
+    if (id == null) {
+        val orphans = state.engine.orphanHandles.remove(handle)
+        return state.copy(engine = state.engine.copy(orphanHandles = orphans)).step()
+    }
+    return when (state.ledger[id]?.hold) {
+        EngineHold.RELEASING -> free(state, id)
+        EngineHold.EXPORTED -> loseStream(state, id, "the engine dropped the segment")
+        else -> state.step()
+    }
+}
+
+internal fun reduceCallEnded(state: AgentState, event: EngineEvent.CallEnded): Step<AgentState> {
+    val reservation = state.ledger[event.lease] ?: return state.step()
+    if (!isCall(reservation)) return state.step()
+    return keepAnswer(state, event.lease)
+        .then { finishAction(it, reservation, ActionPhase.DONE) }
+        .then { free(it, event.lease) }
+        .then { judgeWarmth(it, reservation, Duration.ZERO) }
+}
+
+internal fun reduceCallFailed(state: AgentState, event: EngineEvent.CallFailed): Step<AgentState> {
+    val id = event.lease
+    val reservation = state.ledger[id]?.takeIf(::isCall) ?: return state.step()
+    val lease = state.leases[id]
+    val runState = if (event.reached) RunState.UNKNOWN else RunState.NOT_RUN
+    val failure = Failure(ErrorKind.PLAIN_SERVICE_FAILED, event.cause, runState)
+    val unknownAction = event.reached && reservation.action != null
+    val log = logEffect(LogEvent.ACTION_UNKNOWN, "lease" to id, "cause" to event.cause)
+    return state.copy(leases = state.leases.remove(id))
+        .step(RuntimeEffect.CancelTimer(TimerId.Lease(id)))
+        .then {
+            if (event.reached) {
+                finishAction(it, reservation, ActionPhase.UNKNOWN)
+            } else {
+                abandonAction(it, reservation).step()
+            }
+        }
+        .then { free(it, id) }
+        .then { Step(it, lease?.let { held -> it.workFailed(held, failure) }.orEmpty()) }
+        .then { if (unknownAction) it.step(log) else it.step() }
+        .then { turnCold(it, reservation.service, "call failed") }
+}
+
+private fun isCall(reservation: Reservation): Boolean = !reservation.onEngine &&
+    (reservation.hold == EngineHold.OPEN || reservation.hold == EngineHold.CANCELLING)
+
+/** Keeps the answer of ended work for its entry until the lease ends. */
+private fun keepAnswer(state: AgentState, id: LeaseId): Step<AgentState> {
+    val lease = state.leases[id] ?: return state.step()
+    return putLease(state, lease.copy(phase = LeasePhase.ENDED))
+}
+
+/** Gives back a reservation; the buffers go too unless somebody may still want the answer. */
+internal fun free(state: AgentState, id: LeaseId): Step<AgentState> {
+    val reservation = state.ledger[id] ?: return state.step()
+    val hold = state.common.now - reservation.grantedAt
+    val average = state.averageHold?.let { it + (hold - it) / HOLD_SAMPLES } ?: hold
+    val next = state.copy(
+        ledger = state.ledger.remove(id),
+        averageHold = if (reservation.openedAt == null) state.averageHold else average,
+        engine = state.engine.copy(gone = state.engine.gone.put(id, state.common.now))
+    )
+    val kept = id in state.leases || isRecorded(state, reservation)
+    return if (kept) next.step() else next.step(EngineEffect.ForgetLease(id))
+}
+
+private fun isRecorded(state: AgentState, reservation: Reservation): Boolean =
+    reservation.action?.let { state.actions.records[it] }?.lease == reservation.lease
+
+/** The average hold time follows about this many latest streams. */
+private const val HOLD_SAMPLES = 8
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Orphans.kt
@@ -0,0 +1,71 @@
+/*
+ * Streams and cache handles that the engine holds and no lease accounts for: those of an earlier
+ * agent process, or of lost messages. After one lease time nobody can claim them any more.
+ */
+package org.gypsumroute.core
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.toPersistentMap
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EngineEffect
+import org.gypsumroute.api.EngineState
+import org.gypsumroute.api.HandleId
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Metric
+import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.Step
+
+/** Notes orphans in a report, and cancels or releases the old ones with each report. */
+internal fun reconcileOrphans(state: AgentState, report: EngineState): Step<AgentState> {
+    val now = state.common.now
+    val engine = state.engine
+    val streams = seen(
+        report.streams.keys.filter { it !in state.ledger.reservations },
+        engine.orphanStreams,
+        now
+    )
+    val handles = seen(
+        report.handles.keys.filter { it !in state.ledger.handles },
+        engine.orphanHandles,
+        now
+    )
+    val oldest = state.common.timings.engineCheck * GONE_CHECKS
+    val next = state.copy(
+        engine = engine.copy(
+            orphanStreams = streams,
+            orphanHandles = handles,
+            gone = engine.gone.filterValues { now - it <= oldest }.toPersistentMap()
+        )
+    )
+    val leaseTime = state.common.timings.leaseTime
+    val old = { since: Moment -> now - since >= leaseTime }
+    return Step(
+        next,
+        streams.filterValues(old).keys.flatMap(::cancelOrphan) +
+            handles.filterValues(old).keys.flatMap(::releaseOrphan)
+    )
+}
+
+private fun <K> seen(
+    present: List<K>,
+    before: PersistentMap<K, Moment>,
+    now: Moment
+): PersistentMap<K, Moment> = present.associateWith { before[it] ?: now }.toPersistentMap()
+
+private fun cancelOrphan(lease: LeaseId): List<Effect> = listOf(
+    logEffect(LogEvent.ORPHAN_STREAM, "lease" to lease),
+    RuntimeEffect.Count(Metric.ORPHANS, MetricLabels(outcome = "stream")),
+    EngineEffect.CancelStream(lease)
+)
+
+private fun releaseOrphan(handle: HandleId): List<Effect> = listOf(
+    logEffect(LogEvent.ORPHAN_HANDLE, "handle" to handle),
+    RuntimeEffect.Count(Metric.ORPHANS, MetricLabels(outcome = "handle")),
+    EngineEffect.ReleaseHandle(handle)
+)
+
+/** Reports that lag longer than this many checks are not expected. */
+private const val GONE_CHECKS = 4
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Reconciliation.kt
@@ -0,0 +1,142 @@
+/*
+ * Compares the ledger with the engine's own view.
+ *
+ * Reports lag: they may miss the newest streams and still list ended ones. A cancelled stream
+ * counts as gone after two reads in a row, both taken after the cancel, that do not list it.
+ */
+package org.gypsumroute.core
+
+import org.gypsumroute.api.EngineEffect
+import org.gypsumroute.api.EngineState
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.ServiceKind
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.Tokens
+
+/** Repeats unconfirmed cancels and asks for the engine's state. */
+internal fun checkEngine(state: AgentState): Step<AgentState> {
+    val now = state.common.now
+    val interval = state.common.timings.engineCheck
+    val repeats = state.ledger.reservations.values.mapNotNull { reservation ->
+        when (reservation.hold) {
+            EngineHold.CANCELLING -> EngineEffect.CancelStream(reservation.lease)
+            EngineHold.RELEASING -> reservation.handle?.let { EngineEffect.ReleaseHandle(it) }
+            else -> null
+        }
+    }
+    val overdue = state.engine.readIssuedAt?.let { now - it > interval * LOST_READ_CHECKS } ?: false
+    return Step(state, listOf(RuntimeEffect.SetTimer(TimerId.EngineCheck, interval)) + repeats)
+        .then { if (overdue) reduceUnreachable(it, "no answer to a state read") else it.step() }
+        .then { issueRead(it) }
+}
+
+/** Asks for the engine's state unless an answer is awaited; plain services have none. */
+internal fun issueRead(state: AgentState): Step<AgentState> {
+    val documents = poolDocuments(state.common)
+    val plain = documents.isNotEmpty() && documents.all { it.kind == ServiceKind.PLAIN }
+    if (plain || state.engine.readIssuedAt != null) return state.step()
+    return state.copy(engine = state.engine.copy(readIssuedAt = state.common.now))
+        .step(EngineEffect.ReadState)
+}
+
+internal fun reduceUnreachable(state: AgentState, cause: String): Step<AgentState> {
+    val engine = state.engine.copy(readIssuedAt = null, failedReads = state.engine.failedReads + 1)
+    val next = state.copy(engine = engine)
+    val lost = state.engine.reachable && !engine.reachable
+    return if (lost) {
+        next.step(logEffect(LogEvent.ENGINE_UNREACHABLE, "cause" to cause))
+    } else {
+        next.step()
+    }
+}
+
+internal fun reduceStateRead(state: AgentState, report: EngineState): Step<AgentState> {
+    val issuedAt = state.engine.readIssuedAt ?: state.engine.lastReadIssuedAt
+    val before = state.engine.state
+    val restarted = before != null && before.incarnation != report.incarnation
+    val read = state.copy(
+        engine = state.engine.copy(
+            state = report,
+            readIssuedAt = null,
+            lastReadIssuedAt = issuedAt,
+            failedReads = 0
+        )
+    )
+    return read.step()
+        .then { if (restarted) replaceEngine(it, state.engine.lastReadIssuedAt) else it.step() }
+        .then { confirmAbsent(it, report) }
+        .then { reconcileOrphans(it, report) }
+        .map { it.copy(engine = it.engine.copy(unexplained = unexplained(it, report))) }
+        .then { considerOrder(it) }
+}
+
+/**
+ * Clears the ledger of what the earlier engine held, and starts the ramp again. Work handed over
+ * since [lastRead] may already run on the new engine, whose reports lag; its own stream tells.
+ */
+private fun replaceEngine(state: AgentState, lastRead: Moment): Step<AgentState> {
+    val report = state.engine.state ?: return state.step()
+    val lost = state.ledger.reservations.values.filter { reservation ->
+        val opened = reservation.openedAt
+        reservation.onEngine && opened != null && opened <= lastRead &&
+            !isListed(report, reservation)
+    }
+    val renewed = state.copy(
+        engine = state.engine.copy(
+            orphanStreams = state.engine.orphanStreams.clear(),
+            orphanHandles = state.engine.orphanHandles.clear(),
+            gone = state.engine.gone.clear()
+        ),
+        orders = state.orders.copy(outstanding = null)
+    )
+    return renewed.step()
+        .thenEach(lost) { current, reservation ->
+            loseStream(current, reservation.lease, "the engine restarted")
+        }
+        .then { turnCold(it, servedDocument(it)?.service, "the engine restarted") }
+}
+
+private fun isListed(report: EngineState, reservation: Reservation): Boolean =
+    reservation.lease in report.streams || reservation.handle?.let { it in report.handles } == true
+
+private fun confirmAbsent(state: AgentState, report: EngineState): Step<AgentState> {
+    val readAt = state.engine.lastReadIssuedAt
+    val awaited = state.ledger.reservations.values.filter {
+        val ending = it.hold == EngineHold.CANCELLING || it.hold == EngineHold.RELEASING
+        it.onEngine && ending && it.since < readAt
+    }
+    return state.step().thenEach(awaited) { current, reservation ->
+        val absences = if (isListed(report, reservation)) 0 else reservation.absentReads + 1
+        if (absences >= ABSENT_READS) {
+            free(current, reservation.lease)
+        } else {
+            val counted = reservation.copy(absentReads = absences)
+            current.copy(ledger = current.ledger.put(counted)).step()
+        }
+    }
+}
+
+/** Memory in use that neither reservations nor streams known to have ended account for. */
+private fun unexplained(state: AgentState, report: EngineState): Tokens {
+    val streams = report.streams.entries.sumOf { (lease, tokens) ->
+        val reserved = state.ledger[lease]?.tokens
+        when {
+            reserved != null -> minOf(reserved, tokens).count
+            lease in state.engine.gone -> tokens.count
+            else -> 0L
+        }
+    }
+    val handles = report.handles.entries.sumOf { (handle, tokens) ->
+        val reserved = state.ledger.handles[handle]?.let { state.ledger[it]?.tokens }
+        reserved?.let { minOf(it, tokens).count } ?: 0L
+    }
+    return Tokens(maxOf(report.usedMemory.count - streams - handles, 0))
+}
+
+/** A read not answered for this many checks counts as failed. */
+private const val LOST_READ_CHECKS = 2
+
+private const val ABSENT_READS = 2
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/LeasesReducerTest.kt
@@ -0,0 +1,109 @@
+package org.gypsumroute.core
+
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.EngineEffect
+import org.gypsumroute.api.EngineEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.Tokens
+import org.junit.jupiter.api.Test
+
+/** Guards against leases that outlive their entry and memory that is never returned. */
+class LeasesReducerTest {
+    private val agent = AgentFixture().apply { check() }
+    private val lease = LeaseId("a")
+
+    @Test
+    fun `a request is granted, dispatched, answered and forgotten`() {
+        assertEquals(lease, agent.ask("a").sent<PeerMessage.GrantIssued>().single().lease)
+        assertEquals(Tokens(1_500), agent.state.ledger.reserved)
+        assertTrue(agent.dispatch("a").any { it is EngineEffect.ReceiveBody })
+        val open = agent.feed(EngineEvent.BodyReceived(lease))
+        assertEquals(
+            EngineEffect.OpenStream(lease, Tokens(500), 0, emptyList()),
+            open.filterIsInstance<EngineEffect>().single()
+        )
+        agent.feed(EngineEvent.StreamEnded(lease, Tokens(40)))
+        assertEquals(Tokens.ZERO, agent.state.ledger.reserved)
+        assertTrue(EngineEffect.ForgetLease(lease) in agent.release("a"))
+        assertTrue(agent.state.leases.isEmpty())
+    }
+
+    @Test
+    fun `an expired grant is never dispatched, also when the process was paused`() {
+        agent.ask("a")
+        agent.pass(5.seconds)
+        assertEquals(Tokens.ZERO, agent.state.ledger.reserved)
+        val failure = agent.dispatch("a").failure()
+        assertEquals(ErrorKind.LEASE_EXPIRED to RunState.UNKNOWN, failure.kind to failure.runState)
+    }
+
+    @Test
+    fun `a running lease lives while it is renewed and is cancelled after the lease time`() {
+        agent.run("a")
+        repeat(3) {
+            agent.pass(8.seconds)
+            agent.renew("a")
+        }
+        assertEquals(LeasePhase.RUNNING, agent.state.leases[lease]?.phase)
+        agent.run("b")
+        agent.renew("a")
+        val effects = agent.pass(5.seconds) + agent.pass(5.seconds)
+        assertTrue(EngineEffect.CancelStream(LeaseId("b")) in effects)
+        assertEquals(2, agent.state.ledger.reservations.size)
+    }
+
+    @Test
+    fun `a stream past its deadline is cancelled and its memory stays until the engine confirms`() {
+        agent.ask("a") { it.copy(remaining = 3.seconds) }
+        agent.start("a")
+        val effects = agent.pass(3.seconds)
+        assertTrue(EngineEffect.CancelStream(lease) in effects)
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED, effects.failure().kind)
+        assertEquals(Tokens(1_500), agent.state.ledger.reserved)
+        agent.feed(EngineEvent.CancelConfirmed(lease))
+        assertEquals(Tokens.ZERO, agent.state.ledger.reserved)
+    }
+
+    @Test
+    fun `a lease released while its prompt arrives never reaches the engine`() {
+        agent.ask("a")
+        agent.dispatch("a")
+        agent.release("a")
+        val effects = agent.feed(EngineEvent.BodyReceived(lease))
+        assertTrue(effects.none { it is EngineEffect.OpenStream })
+        assertTrue(agent.state.ledger.reservations.isEmpty())
+    }
+
+    @Test
+    fun `a restarted entry cannot use or keep the leases of its predecessor`() {
+        agent.run("a")
+        assertTrue(EngineEffect.CancelStream(lease) in agent.connect("entry-1#2", 2))
+        assertEquals(ErrorKind.LEASE_EXPIRED, agent.renew("a").failure().kind)
+    }
+
+    @Test
+    fun `a dispatch repeated on a fresh connection does not open a second stream`() {
+        agent.run("a")
+        agent.connect("entry-1#1", 2)
+        assertTrue(agent.dispatch("a").none { it is EngineEffect })
+        assertTrue(agent.feed(EngineEvent.BodyReceived(lease)).none { it is EngineEffect })
+    }
+
+    @Test
+    fun `the grant of a group waits for the other members while it is renewed`() {
+        agent.ask("a") { it.segment() }
+        agent.ask("b")
+        repeat(2) {
+            agent.pass(4.seconds)
+            agent.renew("a", "b")
+        }
+        agent.pass(10.milliseconds)
+        assertEquals(setOf(lease), agent.state.leases.keys)
+    }
+}
