--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DefaultPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DefaultPolicies.kt
@@ -1,2 +1,9 @@
 package org.gypsumroute.core
-val defaultPolicies: Policies get() = TODO()
+
+val defaultPolicies = Policies(
+    placement = PlacementPolicies.expectedWait,
+    queueOrder = shortestClassFirst,
+    ramp = growAtWarmSpeed,
+    retry = RetryPolicies.budgeted,
+    prefillEstimate = atWarmSpeed
+)
