--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ActionsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ActionsReducer.kt
@@ -71,7 +71,7 @@
     record: RequestRecord,
     failure: Failure
 ): Step<EntryState> {
-    val lost = failure.kind == ErrorKind.ENDPOINT_LOST || failure.kind == ErrorKind.NO_ENDPOINT
+    val lost = failure.kind == ErrorKind.NO_ENDPOINT
     val again = failure.runState == RunState.NOT_RUN && failure.kind in REPEATABLE
     return when {
         lost -> placeAction(state.withRequest(record), record)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AdmissionReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AdmissionReducer.kt
@@ -11,8 +11,10 @@
 import org.gypsumroute.api.Failure
 import org.gypsumroute.api.Metric
 import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.WorkKind
@@ -20,15 +22,30 @@
 internal fun reduceCaller(state: EntryState, event: CallerEvent): Step<EntryState> = when (event) {
     is CallerEvent.Opened -> reduceOpened(state, event)
 
-    is CallerEvent.GenerationArrived -> admit(state, event.request, event.bodyBytes) {
+    is CallerEvent.GenerationArrived -> admit(
+        state,
+        event.request,
+        event.service,
+        event.bodyBytes
+    ) {
         checkGeneration(state, event)
     }
 
-    is CallerEvent.CallArrived -> admit(state, event.request, event.bodyBytes) {
+    is CallerEvent.CallArrived -> admit(
+        state,
+        event.request,
+        event.service,
+        event.bodyBytes
+    ) {
         checkCall(state, event)
     }
 
-    is CallerEvent.ActionKeyWanted -> admit(state, event.request, Bytes.ZERO) {
+    is CallerEvent.ActionKeyWanted -> admit(
+        state,
+        event.request,
+        event.service,
+        Bytes.ZERO
+    ) {
         checkActionKeyWanted(state, event)
     }
 
@@ -42,7 +59,7 @@
 private fun reduceOpened(state: EntryState, event: CallerEvent.Opened): Step<EntryState> {
     val request = event.request
     val known = request in state.opened || request in state.requests || request in state.ended
-    val user = knownUser(state.common, event.keyDigest)
+    val user = knownOrganisation(state.common, event.keyDigest)
     val refusal = when {
         known -> ErrorKind.REQUEST_DUPLICATE
         state.common.drain != DrainPhase.SERVING -> ErrorKind.DRAINING
@@ -72,37 +89,42 @@
             opened = state.opened.put(request, state.common.now),
             buffers = state.buffers.put(
                 request,
-                HeldBytes(user.organisation, event.declaredBytes)
+                HeldBytes(user, event.declaredBytes)
             )
         ).step(CallerEffect.AcceptBody(request))
     }
 }
 
-private fun hasRoom(state: EntryState, user: KnownUser, more: Bytes): Boolean =
+private fun hasRoom(state: EntryState, organisation: OrganisationId, more: Bytes): Boolean =
     state.buffers.total + more <= state.largestBufferedBytes &&
-        state.buffers.of(user.organisation) + more <= user.buffered
+        state.buffers.of(organisation) + more <= bufferBudget(state.common, organisation)
 
 private fun admit(
     state: EntryState,
     request: RequestId,
+    service: ServiceId,
     bodyBytes: Bytes,
     check: () -> Either<Failure, Admission>
 ): Step<EntryState> {
     val arrivedAt = state.opened[request] ?: return state.step()
-    val held = state.buffers.held[request]
-    val buffers = if (held == null) {
-        state.buffers
-    } else {
-        state.buffers.put(request, held.copy(body = bodyBytes))
-    }
-    return when (val checked = check()) {
-        is Either.Left -> refuse(state, request, checked.value)
+    val held = state.buffers.held[request] ?: return state.step()
+    val buffers = state.buffers.put(request, held.copy(body = bodyBytes))
+    val checked = check()
+    val more = bodyBytes - held.body
+    val room = more <= Bytes.ZERO || hasRoom(state, held.organisation, more)
+    return when {
+        checked is Either.Left -> refuse(state, request, checked.value, service = service)
 
-        is Either.Right -> {
+        checked is Either.Right && room -> {
             val (terms, timeout) = checked.value
             val record = RequestRecord(request, terms, arrivedAt, arrivedAt + timeout)
             begin(state.copy(buffers = buffers), record)
         }
+
+        else -> {
+            val failure = adviseRetry(state, ErrorKind.ANSWER_BUFFER_FULL, "the body is too large")
+            refuse(state, request, failure, service = service)
+        }
     }
 }
 
@@ -134,7 +156,8 @@
     state: EntryState,
     request: RequestId,
     failure: Failure,
-    told: Boolean = false
+    told: Boolean = false,
+    service: ServiceId? = null
 ): Step<EntryState> {
     if (told && request !in state.opened) return state.step()
     val next = state.copy(
@@ -142,14 +165,23 @@
         buffers = state.buffers.remove(request),
         ended = state.ended.add(request)
     )
-    val effects = refusalEffects(request, failure)
+    // Names that no document lists stay out of the labels, whose number has to be bounded.
+    val labels = MetricLabels(
+        service = service?.takeIf { it in state.common.documents.accepted },
+        organisation = state.buffers.held[request]?.organisation
+    )
+    val effects = refusalEffects(request, failure, labels)
     return Step(next, if (told) effects.drop(1) else effects)
 }
 
-private fun refusalEffects(request: RequestId, failure: Failure) = listOf(
+private fun refusalEffects(
+    request: RequestId,
+    failure: Failure,
+    labels: MetricLabels = MetricLabels()
+) = listOf(
     CallerEffect.Fail(request, failure),
     refusedLog(request, failure),
-    RuntimeEffect.Count(Metric.REQUESTS, MetricLabels(outcome = failure.kind.code))
+    RuntimeEffect.Count(Metric.REQUESTS, labels.copy(outcome = failure.kind.code))
 )
 
 private fun reduceLeft(state: EntryState, request: RequestId): Step<EntryState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryReducer.kt
@@ -29,7 +29,7 @@
     is RuntimeEvent.ClockRead -> expireRequests(state)
     is RuntimeEvent.TimerFired -> reduceEntryTimer(state, event.timer)
     is PlatformEvent.HostsRead -> state.onCommon { reconcilePeers(it) }
-    is PeerEvent.Connected -> reduceEndpointConnected(state, before, event)
+    is PeerEvent.Connected -> reduceEndpointConnected(state, event)
     is PeerEvent.Disconnected -> reduceEndpointDisconnected(state, before, event)
     is PeerEvent.Received -> reduceEntryMessage(state, event)
     is CallerEvent -> reduceCaller(state, event)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasesReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasesReducer.kt
@@ -200,7 +200,7 @@
  */
 private fun undispatched(lease: LeaseRecord, failure: Failure): Failure {
     val runState = if (lease.kind == WorkKind.ACTION) RunState.UNKNOWN else RunState.NOT_RUN
-    return failure.copy(runState = runState)
+    return Failure(ErrorKind.NO_ENDPOINT, failure.detail, runState)
 }
 
 private fun unwanted() = Failure(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PeersReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PeersReducer.kt
@@ -149,11 +149,15 @@
 }
 
 private fun replaceConnection(common: CommonState, link: PeerLink): Step<CommonState> {
-    val record = common.hosts[link.peer] ?: return common.step()
-    val silent = link.copy(connecting = true, silentSince = link.silentSince ?: common.now)
+    val record = common.hosts[link.peer]
+    if (record == null && link.silentSince != null) return common.step()
+    val silent = link.copy(
+        connecting = record != null,
+        silentSince = link.silentSince ?: common.now
+    )
     val effects = listOfNotNull(
         logEffect(LogEvent.PEER_SILENT, "peer" to link.peer),
-        PeerEffect.Connect(record),
+        record?.let { PeerEffect.Connect(it) },
         startSilenceTimer(common, link)
     )
     return Step(common.withLink(silent), effects)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PlacementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PlacementReducer.kt
@@ -109,7 +109,9 @@
         val kind = if (candidates.isEmpty()) missing(state, document) else scarce
         return fail(state, record, kind, "no endpoint could take the request in time")
     }
-    return waitFor(state, record.copy(waits = record.waits + 1), wait)
+    // After the wait, hosts that refused may be asked again.
+    val waiting = record.copy(waits = record.waits + 1, tried = persistentSetOf())
+    return waitFor(state, waiting, wait)
 }
 
 private fun missing(state: EntryState, document: ServiceDocument): ErrorKind {
@@ -119,9 +121,14 @@
     return if (out) ErrorKind.DATA_CENTRE_OUT else ErrorKind.NO_ENDPOINT
 }
 
-/** Puts the request aside until its timer fires; then all endpoints may be asked again. */
+private fun askedLease(state: EntryState, record: RequestRecord): LeaseRecord? =
+    record.leases.firstNotNullOfOrNull { id ->
+        state.leases[id]?.takeIf { it.stage == LeaseStage.ASKED }
+    }
+
+/** Puts the request aside until its timer fires. */
 internal fun waitFor(state: EntryState, record: RequestRecord, wait: Duration): Step<EntryState> =
-    state.withRequest(record.copy(phase = RequestPhase.WAITING, tried = persistentSetOf()))
+    state.withRequest(record.copy(phase = RequestPhase.WAITING))
         .step(attemptTimer(record.id, wait))
 
 internal fun attemptTimer(request: RequestId, wait: Duration): Effect =
@@ -136,7 +143,7 @@
         record.phase == RequestPhase.WAITING -> place(state, record)
 
         record.phase == RequestPhase.ASKING && record.group != null ->
-            failGroup(state, record, lateGrant(), null)
+            failGroup(state, record, lateGrant(), askedLease(state, record))
 
         record.phase == RequestPhase.ASKING && record.terms.kind == null ->
             retry(state, record.withTried(record.asked))
@@ -156,7 +163,8 @@
     val refusal = record.lastRefusal
     if (wait == null) {
         val kind = refusal?.kind ?: ErrorKind.OVERLOADED
-        return fail(state, record, kind, refusal?.detail ?: "no endpoint took the request")
+        val detail = refusal?.detail ?: "no endpoint took the request"
+        return fail(state, record, kind, detail, refusal?.retryAfter)
     }
     val counted = countRetry(state, record)
     val untried = candidates(state, document).any { it.record.host !in record.tried }
@@ -164,7 +172,7 @@
         if (untried && record.terms.kind != WorkKind.ACTION) {
             place(it, record)
         } else {
-            waitFor(it, record, wait)
+            waitFor(it, record.copy(tried = persistentSetOf()), wait)
         }
     }
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RequestEnding.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RequestEnding.kt
@@ -3,6 +3,7 @@
  */
 package org.gypsumroute.core
 
+import kotlin.time.Duration
 import kotlin.time.DurationUnit
 import kotlinx.collections.immutable.persistentSetOf
 import org.gypsumroute.api.CallerEffect
@@ -41,7 +42,7 @@
         over || record == null -> next.step()
 
         record.terms.kind == WorkKind.ACTION && record.phase == RequestPhase.WAITING &&
-            record.lastRefusal == null ->
+            record.lastRefusal?.runState != RunState.NOT_RUN ->
             fail(next, record, ErrorKind.ACTION_OUTCOME_UNKNOWN, "the key's host is unreachable")
 
         else -> fail(next, record, ErrorKind.DEADLINE_EXCEEDED, "the deadline passed")
@@ -70,14 +71,21 @@
     state: EntryState,
     record: RequestRecord,
     kind: ErrorKind,
-    detail: String
+    detail: String,
+    retryAfter: Duration? = null
 ): Step<EntryState> {
     val runState = runStateOf(state, record)
-    return failWith(
-        state,
-        record,
-        adviseRetry(state, kind, detail, runState, record.terms.service)
-    )
+    // The advice of these kinds, to repeat later, does not suit work that ran in part.
+    val told = if (record.answerBegan && kind.runState == RunState.NOT_RUN) {
+        ErrorKind.ENDPOINT_LOST
+    } else {
+        kind
+    }
+    // Another request with the same key may have run the action meanwhile.
+    val unsure = kind == ErrorKind.ACTION_OUTCOME_UNKNOWN && runState == RunState.NOT_RUN
+    val toldState = if (unsure) RunState.UNKNOWN else runState
+    val failure = adviseRetry(state, told, detail, toldState, record.terms.service)
+    return failWith(state, record, failure.copy(retryAfter = retryAfter ?: failure.retryAfter))
 }
 
 internal fun failWith(
@@ -89,12 +97,14 @@
         ended = state.ended.add(record.id),
         buffers = state.buffers.remove(record.id)
     )
+    val advised = failure.retryAfter
+        ?: adviseRetry(state, failure.kind, "", service = record.terms.service).retryAfter
     val log = if (failure.runState == RunState.NOT_RUN) {
         refusedLog(record.id, failure)
     } else {
         failedLog(LogEvent.REQUEST_FAILED, record.id, failure)
     }
-    return next.step(CallerEffect.Fail(record.id, failure), log)
+    return next.step(CallerEffect.Fail(record.id, failure.copy(retryAfter = advised)), log)
         .then { endRequest(it, record, failure.kind.code) }
 }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/StreamsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/StreamsReducer.kt
@@ -45,7 +45,7 @@
     if (lease.answering) return state.step()
     val next = state.withLease(lease.copy(answering = true))
         .withRequest(record.copy(answerBegan = true))
-    if (record.answerBegan) return next.step()
+    if (record.answerBegan || lease.kind != WorkKind.GENERATION) return next.step()
     val elapsed = (state.common.now - record.arrivedAt).toDouble(DurationUnit.SECONDS)
     return next.step(RuntimeEffect.Observe(Metric.FIRST_TOKEN, labelsOf(record), elapsed))
 }
@@ -87,22 +87,18 @@
 /** A fresh connection: resumes what was dispatched there and replaces what may be lost. */
 internal fun reduceEndpointConnected(
     state: EntryState,
-    before: EntryState,
     event: PeerEvent.Connected
-): Step<EntryState> {
-    val restarted = before.common.peers[event.peer]?.incarnation != event.incarnation
-    return state.step().thenEach(leasesAt(state, event.peer)) { next, id ->
-        val lease = next.leases[id]
-        when {
-            lease == null -> next.step()
+): Step<EntryState> = state.step().thenEach(leasesAt(state, event.peer)) { next, id ->
+    val lease = next.leases[id]
+    when {
+        lease == null -> next.step()
 
-            restarted || lease.incarnation != event.incarnation ||
-                lease.stage == LeaseStage.ASKED -> loseLease(next, lease)
+        lease.incarnation != event.incarnation || lease.stage == LeaseStage.ASKED ->
+            loseLease(next, lease)
 
-            lease.stage == LeaseStage.GRANTED -> next.step()
+        lease.stage == LeaseStage.GRANTED -> next.step()
 
-            else -> resume(next, lease, event.connection)
-        }
+        else -> resume(next, lease, event.connection)
     }
 }
 
@@ -136,15 +132,21 @@
 
 /** The time to resume is over: work at a peer that is still silent goes elsewhere. */
 internal fun reduceSilenceTimer(state: EntryState, peer: HostId): Step<EntryState> {
-    val since = state.common.peers[peer]?.silentSince ?: return state.step()
-    val left = state.common.timings.resumeTime - (state.common.now - since)
-    if (left.isPositive()) {
-        return state.step(RuntimeEffect.SetTimer(TimerId.PeerSilence(peer), left))
+    val link = state.common.peers[peer]
+    val silent = state.common.now - (link?.silentSince ?: state.common.now)
+    val left = state.common.timings.resumeTime - silent
+    return when {
+        link == null -> loseLeases(state, peer)
+        link.silentSince == null -> state.step()
+        !left.isPositive() -> loseLeases(state, peer)
+        else -> state.step(RuntimeEffect.SetTimer(TimerId.PeerSilence(peer), left))
     }
-    return state.step().thenEach(leasesAt(state, peer)) { next, id ->
+}
+
+private fun loseLeases(state: EntryState, peer: HostId): Step<EntryState> =
+    state.step().thenEach(leasesAt(state, peer)) { next, id ->
         next.leases[id]?.let { loseLease(next, it) } ?: next.step()
     }
-}
 
 private fun leasesAt(state: EntryState, host: HostId): List<LeaseId> =
     state.leasesByHost[host]?.toList().orEmpty()
