--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ActionsReducerTest.kt
@@ -0,0 +1,130 @@
+package org.gypsumroute.core
+
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.ActionKey
+import org.gypsumroute.api.CallerEffect
+import org.gypsumroute.api.CallerEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.PeerEffect
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.ServiceKind
+import org.gypsumroute.api.TimerId
+import org.junit.jupiter.api.Test
+
+/** Guards against actions that run twice or that are called not run without knowledge. */
+class ActionsReducerTest {
+    private val document = testDocument(service = "order-desk") {
+        it.copy(
+            kind = ServiceKind.PLAIN,
+            actions = it.actions.copy(notRepeatable = listOf("/print"))
+        )
+    }
+    private val key = "a2~a2#1~5~signature"
+
+    private fun entry(connected: Boolean = true) =
+        EntryHarness(listOf(document), connected = connected)
+
+    private fun EntryHarness.print(key: String? = this@ActionsReducerTest.key) =
+        call("r", "/print", key)
+
+    @Test
+    fun `an action goes to the run that issued its key and to no other`() {
+        val entry = entry()
+        val order = entry.print().sent<PeerMessage.GrantRequest>().single().order
+        assertEquals(ActionKey(key), order.actionKey)
+        assertEquals(HostId("a2"), entry.leases("r").single().host)
+        val restarted = entry().apply { connect("a2", "a2#2") }.print()
+        assertEquals(ErrorKind.ACTION_OUTCOME_UNKNOWN, restarted.failure().kind)
+        assertTrue(restarted.sent<PeerMessage.GrantRequest>().isEmpty())
+        assertEquals(ErrorKind.ACTION_KEY_MISSING, entry().print(null).failure().kind)
+        assertEquals(ErrorKind.ACTION_KEY_INVALID, entry().print("my-key").failure().kind)
+        assertEquals(ErrorKind.ACTION_OUTCOME_UNKNOWN, entry().print("x~1~1~s").failure().kind)
+    }
+
+    @Test
+    fun `a dispatched action is never dispatched again unless the agent says not run`() {
+        val losses = listOf<EntryHarness.(LeaseRecord) -> Unit>(
+            { connect("a2", "a2#2") },
+            { failWork(it, ErrorKind.PLAIN_SERVICE_FAILED, RunState.UNKNOWN) },
+            {
+                disconnect("a2")
+                advance(5.seconds)
+                fire(TimerId.PeerSilence(HostId("a2")))
+            }
+        )
+        for (lose in losses) {
+            val entry = entry()
+            entry.print()
+            entry.lose(entry.run("r"))
+            assertEquals(RunState.UNKNOWN, entry.effects.failure().runState)
+            assertEquals(1, entry.effects.sent<PeerMessage.Dispatch>().size)
+        }
+        val entry = entry()
+        entry.print()
+        entry.failWork(entry.run("r"), ErrorKind.PLAIN_SERVICE_FAILED, RunState.NOT_RUN)
+        entry.fire(TimerId.Attempt(RequestId("r")))
+        entry.run("r")
+        assertEquals(2, entry.effects.sent<PeerMessage.Dispatch>().size)
+    }
+
+    @Test
+    fun `an agent's word about a key is passed on with its run state`() {
+        val entry = entry()
+        entry.print()
+        val lease = entry.leases("r").single()
+        val refused = entry.refuse(lease, ErrorKind.ACTION_IN_PROGRESS, RunState.UNKNOWN)
+        assertEquals(ErrorKind.ACTION_IN_PROGRESS, refused.failure().kind)
+        assertEquals(RunState.UNKNOWN, refused.failure().runState)
+    }
+
+    @Test
+    fun `a key's host without a connection is connected and its outcome unknown at the deadline`() {
+        val entry = entry(connected = false)
+        val hosts = entry.state.common.hosts.values
+        entry.state = entry.state.copy(
+            common = entry.state.common.copy(peers = entry.state.common.peers.clear())
+        )
+        val connect = PeerEffect.Connect(hosts.single { it.host == HostId("a2") })
+        assertEquals(listOf(connect), entry.print().filterIsInstance<PeerEffect.Connect>())
+        assertTrue(entry.fire(TimerId.Attempt(RequestId("r"))).none { it is PeerEffect.Connect })
+        val failure = entry.advance(10.seconds).failure()
+        assertEquals(ErrorKind.ACTION_OUTCOME_UNKNOWN, failure.kind)
+        assertEquals(RunState.UNKNOWN, failure.runState)
+    }
+
+    @Test
+    fun `a caller who leaves does not cancel a dispatched action`() {
+        val entry = entry()
+        entry.print()
+        entry.run("r")
+        val left = entry.feed(CallerEvent.Left(RequestId("r")))
+        assertTrue(left.sent<PeerMessage.LeaseRelease>().isEmpty())
+        assertTrue(entry.state.leases.isEmpty())
+    }
+
+    @Test
+    fun `a key is asked of another agent if the first does not answer`() {
+        val entry = entry()
+        entry.open("k")
+        val wanted = CallerEvent.ActionKeyWanted(
+            RequestId("k"),
+            ServiceId("order-desk"),
+            "digest-1",
+            null
+        )
+        val first = entry.feed(wanted).single { it is PeerEffect.Send } as PeerEffect.Send
+        val second = entry.fire(TimerId.Attempt(RequestId("k")))
+            .filterIsInstance<PeerEffect.Send>().single()
+        assertTrue(first.connection != second.connection)
+        val issued = PeerMessage.ActionKeyIssued(RequestId("k"), ActionKey(key))
+        val answer = CallerEffect.AnswerActionKey(RequestId("k"), ActionKey(key))
+        assertTrue(answer in entry.receive("a1", issued))
+        assertTrue(answer !in entry.receive("a2", issued), "a second key is ignored")
+    }
+}
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryHarness.kt
@@ -1,5 +1,6 @@
 package org.gypsumroute.core
 
+import arrow.core.right
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -54,7 +55,7 @@
     private var connections = 0L
 
     init {
-        documents.forEach { feed(PlatformEvent.DocumentRead(null, arrow.core.Either.Right(it))) }
+        documents.forEach { feed(PlatformEvent.DocumentRead(null, it.right())) }
         feed(PlatformEvent.HostsRead(hosts))
         if (connected) hosts.filter { it.role == NodeRole.AGENT }.forEach { connect(it.host.value) }
         effects.clear()
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryRandomEventsTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryRandomEventsTest.kt
@@ -1,5 +1,6 @@
 package org.gypsumroute.core
 
+import arrow.core.right
 import kotlin.random.Random
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -22,6 +23,7 @@
 import org.gypsumroute.api.PeerEvent
 import org.gypsumroute.api.PeerMessage
 import org.gypsumroute.api.PlatformEvent
+import org.gypsumroute.api.PoolId
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.RuntimeEffect
@@ -191,7 +193,7 @@
         val leaving = hostNames.random(random).takeIf { random.nextBoolean() }
         val next: List<HostRecord> = hosts.map { it.copy(leaving = it.host.value == leaving) }
         entry.feed(
-            PlatformEvent.DocumentRead(null, arrow.core.Either.Right(menu(out))),
+            PlatformEvent.DocumentRead(null, menu(out).right()),
             PlatformEvent.HostsRead(next)
         )
     }
@@ -202,7 +204,7 @@
     private fun desk() = testDocument(service = "order-desk") {
         it.copy(
             kind = ServiceKind.PLAIN,
-            pool = org.gypsumroute.api.PoolId("desk"),
+            pool = PoolId("desk"),
             actions = it.actions.copy(notRepeatable = listOf("/print"))
         )
     }
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/GroupsReducerTest.kt
@@ -0,0 +1,102 @@
+package org.gypsumroute.core
+
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.gypsumroute.api.CallerEffect
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.WorkKind
+import org.junit.jupiter.api.Test
+
+/** Guards against groups that keep leases, deadlock or lose a segment. */
+class GroupsReducerTest {
+    private val hosts = (1..6).map { agent("a$it") } + agent("p1", "patan")
+
+    private fun entry(share: Double = 0.5) = EntryHarness(
+        listOf(testDocument { it.copy(group = it.group.copy(dataCentreShare = share)) }),
+        hosts
+    )
+
+    private fun EntryHarness.ask(id: String = "r") = generate(id, prompt = 200_000)
+
+    private fun EntryHarness.asked(id: String = "r"): LeaseRecord =
+        leases(id).single { it.stage == LeaseStage.ASKED }
+
+    @Test
+    fun `members are asked in host id order and segments run one after the other`() {
+        val entry = entry()
+        val orders = entry.ask().sent<PeerMessage.GrantRequest>().toMutableList()
+        repeat(2) { orders += entry.grant(entry.asked()).sent<PeerMessage.GrantRequest>() }
+        assertEquals(200_000, orders.sumOf { it.order.promptTokens.count })
+        assertEquals(
+            listOf(WorkKind.SEGMENT to 0L, WorkKind.SEGMENT to 0L, WorkKind.GENERATION to 100L),
+            orders.map { it.order.kind to it.order.outputLimit.count }
+        )
+        val started = entry.grant(entry.asked())
+        val leases = entry.leases("r")
+        assertEquals(leases.map { it.host }, leases.map { it.host }.sortedBy { it.value })
+        assertEquals(leases[0].lease, started.sent<PeerMessage.Dispatch>().single().lease)
+        entry.segmentReady(leases[0])
+        assertTrue(entry.segmentReady(leases[0]).sent<PeerMessage.Dispatch>().isEmpty())
+        val last = entry.segmentReady(leases[1])
+        assertEquals(2, last.sent<PeerMessage.Dispatch>().single().imports.size)
+        assertTrue(CallerEffect.ReadAnswer(RequestId("r"), leases[2].lease) in last)
+        val released = entry.complete(entry.leases("r")[2]).sent<PeerMessage.LeaseRelease>()
+        assertEquals(leases.map { it.lease }.toSet(), released.map { it.lease }.toSet())
+    }
+
+    @Test
+    fun `a refused or late member releases all leases and another host is asked`() {
+        val endings = listOf<EntryHarness.() -> Unit>(
+            { refuse(asked()) },
+            { fire(TimerId.Attempt(RequestId("r"))) },
+            { disconnect(asked().host.value) }
+        )
+        for (end in endings) {
+            val entry = entry()
+            entry.ask()
+            entry.grant(entry.asked())
+            val failed = entry.asked().host
+            val granted = entry.leases("r").single { it.stage == LeaseStage.GRANTED }
+            val start = entry.effects.size
+            entry.end()
+            val released = entry.effects.drop(start).sent<PeerMessage.LeaseRelease>()
+            assertTrue(granted.lease in released.map { it.lease })
+            assertTrue(entry.leases("r").isEmpty())
+            entry.fire(TimerId.Attempt(RequestId("r")))
+            val plan = entry.state.requests.getValue(RequestId("r")).group!!
+            assertTrue(failed !in plan.members.map { it.host })
+        }
+    }
+
+    @Test
+    fun `a group that loses a running member gives all leases back and names the run state`() {
+        val entry = entry()
+        entry.ask()
+        repeat(3) { entry.grant(entry.asked()) }
+        entry.state = entry.state.copy(retryBudget = 0.0)
+        val effects = entry.failWork(
+            entry.leases("r")[0],
+            ErrorKind.ENGINE_FAILED,
+            RunState.RAN
+        )
+        assertEquals(ErrorKind.GROUP_UNAVAILABLE, effects.failure().kind)
+        assertEquals(RunState.UNKNOWN, effects.failure().runState)
+        assertEquals(3, effects.sent<PeerMessage.LeaseRelease>().size)
+        assertTrue(entry.state.leases.isEmpty())
+    }
+
+    @Test
+    fun `groups take no more than their share of a data centre`() {
+        val entry = entry()
+        entry.ask("r")
+        repeat(2) { entry.grant(entry.asked("r")) }
+        assertTrue(entry.ask("s").sent<PeerMessage.GrantRequest>().isEmpty())
+        assertTrue(entry(share = 0.2).ask().sent<PeerMessage.GrantRequest>().isEmpty())
+        assertTrue(entry.leases("r").none { it.host == HostId("p1") })
+    }
+}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/StreamsReducerTest.kt
@@ -0,0 +1,145 @@
+package org.gypsumroute.core
+
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.CallerEffect
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.PlatformEvent
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.Tokens
+import org.junit.jupiter.api.Test
+
+/** Guards against answers that are cut off, too long or charged to a wrong run state. */
+class StreamsReducerTest {
+    @Test
+    fun `generation moves on with the output limit reduced by each delivered part`() {
+        val entry = EntryHarness()
+        entry.generate("r", prompt = 1_000, output = 100)
+        val first = entry.run("r")
+        entry.progress(first, 30)
+        val moved = entry.failWork(first, ErrorKind.ENGINE_FAILED, RunState.RAN)
+        val order = moved.sent<PeerMessage.GrantRequest>().first().order
+        assertEquals(Tokens(1_030) to Tokens(70), order.promptTokens to order.outputLimit)
+        val second = entry.leases("r").first()
+        assertNotEquals(first.host, second.host)
+        val dispatched = entry.grant(second).sent<PeerMessage.Dispatch>().single()
+        assertEquals(Tokens(70), dispatched.outputLimit)
+        entry.progress(first, 90)
+        entry.progress(second, 20)
+        val third = entry.failWork(second, ErrorKind.ENGINE_FAILED, RunState.RAN)
+        val last = third.sent<PeerMessage.GrantRequest>().first().order
+        assertEquals(Tokens(50), last.outputLimit)
+    }
+
+    @Test
+    fun `a reconnected endpoint resumes the same lease and keeps its first output limit`() {
+        val entry = EntryHarness()
+        entry.generate("r")
+        val lease = entry.run("r")
+        entry.progress(lease, 30)
+        entry.disconnect(lease.host.value)
+        val start = entry.effects.size
+        val connection = entry.connect(lease.host.value)
+        val effects = entry.effects.drop(start)
+        val dispatch = effects.sent<PeerMessage.Dispatch>().single()
+        assertEquals(lease.lease to Tokens(100), dispatch.lease to dispatch.outputLimit)
+        val resume = CallerEffect.ResumeAnswer(lease.request, lease.lease, connection)
+        assertTrue(resume in effects && effects.none { it is CallerEffect.Upload })
+    }
+
+    @Test
+    fun `a restarted agent's and a silent agent's work moves to another endpoint`() {
+        val entry = EntryHarness()
+        entry.generate("r")
+        val first = entry.run("r")
+        entry.connect(first.host.value, incarnation = "restarted")
+        val second = entry.leases("r").first { it.host != first.host }
+        entry.grant(second)
+        entry.disconnect(second.host.value)
+        entry.fire(TimerId.PeerSilence(second.host))
+        assertEquals(listOf(second.host), entry.leases("r").map { it.host }, "moved too early")
+        entry.advance(5.seconds)
+        entry.fire(TimerId.PeerSilence(second.host))
+        assertTrue(entry.leases("r").isNotEmpty() && entry.leases("r").none { it == second })
+        assertTrue(entry.leases("r").none { it.host == second.host })
+    }
+
+    @Test
+    fun `after a pause expired requests fail before a grant is acted on`() {
+        val entry = EntryHarness()
+        entry.generate("r", timeout = 3.seconds)
+        val lease = entry.leases("r").first()
+        entry.now += 60.seconds
+        val woken = entry.grant(lease)
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED, woken.failure().kind)
+        assertTrue(woken.sent<PeerMessage.Dispatch>().isEmpty())
+    }
+
+    @Test
+    fun `the run state at the deadline tells what became of each dispatched lease`() {
+        fun stateAtDeadline(act: EntryHarness.(LeaseRecord) -> Unit): RunState {
+            val entry = EntryHarness()
+            entry.generate("r", timeout = 3.seconds)
+            entry.act(entry.run("r"))
+            return entry.advance(3.seconds).failure().runState
+        }
+        assertEquals(RunState.UNKNOWN, stateAtDeadline { })
+        assertEquals(RunState.RAN, stateAtDeadline { progress(it, 1) })
+        val refused = stateAtDeadline { failWork(it, ErrorKind.ENGINE_REFUSED, RunState.NOT_RUN) }
+        assertEquals(RunState.NOT_RUN, refused)
+        val lost = stateAtDeadline { failWork(it, ErrorKind.LEASE_EXPIRED, RunState.UNKNOWN) }
+        assertEquals(RunState.UNKNOWN, lost)
+    }
+
+    @Test
+    fun `heartbeats renew all leases of a peer`() {
+        val entry = EntryHarness()
+        entry.generate("r")
+        val lease = entry.run("r")
+        val renewal = entry.fire(TimerId.Heartbeat).sent<PeerMessage.LeaseRenewal>().single()
+        assertEquals(listOf(lease.lease), renewal.leases)
+        entry.complete(lease)
+        assertTrue(entry.fire(TimerId.Heartbeat).sent<PeerMessage.LeaseRenewal>().isEmpty())
+    }
+
+    @Test
+    fun `the oldest stalled reader of an organisation over its budget is dropped`() {
+        val entry = EntryHarness(hosts = (1..3).map { agent("a$it") })
+        val mebibyte = 1024L * 1024
+        val leases = listOf("r", "s", "t").map { id ->
+            entry.generate(id, key = if (id == "t") "digest-2" else "digest-1")
+            entry.run(id)
+        }
+        entry.progress(leases[2], 1, 4 * mebibyte)
+        entry.progress(leases[0], 1, 5 * mebibyte)
+        entry.advance(1.seconds)
+        val over = entry.progress(leases[1], 1, 5 * mebibyte)
+        assertEquals(leases[0].request, over.failures().single().request)
+        assertEquals(ErrorKind.READER_TOO_SLOW, over.failure().kind)
+        assertEquals(leases[0].lease, over.sent<PeerMessage.LeaseRelease>().single().lease)
+        entry.state = entry.state.copy(
+            largestBufferedBytes = Bytes(8 * mebibyte)
+        )
+        val total = entry.progress(leases[1], 2, 6 * mebibyte)
+        assertEquals(leases[2].request, total.failures().single().request)
+    }
+
+    @Test
+    fun `an endpoint that left the host list without a word loses its work`() {
+        val entry = EntryHarness()
+        entry.generate("r")
+        val lease = entry.run("r")
+        entry.disconnect(lease.host.value)
+        val rest = entry.state.common.hosts.values.filter { it.host != lease.host }
+        entry.feed(PlatformEvent.HostsRead(rest))
+        entry.advance(5.seconds)
+        entry.fire(TimerId.PeerSilence(HostId(lease.host.value)))
+        assertTrue(entry.leases("r").isNotEmpty() && entry.leases("r").none { it == lease })
+    }
+}
