Withdraw leases from endpoints that may not get new work any more

A document or host list that takes a data centre or host out left requests in that endpoint's queue until it answered. They are now withdrawn and placed elsewhere at once. Engines too small for a request are no longer asked.

mvn verify -pl gypsumroute-core -am passes.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryReducer.kt
@@ -27,13 +27,24 @@
     event: Event
 ): Step<EntryState> = when (event) {
     is RuntimeEvent.ClockRead -> expireRequests(state)
+
     is RuntimeEvent.TimerFired -> reduceEntryTimer(state, event.timer)
-    is PlatformEvent.HostsRead -> state.onCommon { reconcilePeers(it) }
+
+    is PlatformEvent.HostsRead ->
+        state.onCommon { reconcilePeers(it) }.then { withdrawUnwanted(it) }
+
+    is PlatformEvent.DocumentRead -> withdrawUnwanted(state)
+
     is PeerEvent.Connected -> reduceEndpointConnected(state, event)
+
     is PeerEvent.Disconnected -> reduceEndpointDisconnected(state, before, event)
+
     is PeerEvent.Received -> reduceEntryMessage(state, event)
+
     is CallerEvent -> reduceCaller(state, event)
+
     is AnswerEvent -> reduceAnswer(state, event)
+
     else -> state.step()
 }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasesReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasesReducer.kt
@@ -209,6 +209,23 @@
     RunState.NOT_RUN
 )
 
+/** Documents or hosts changed: takes back what waits at endpoints that may not get new work. */
+internal fun withdrawUnwanted(state: EntryState): Step<EntryState> {
+    val unwanted = state.leases.values.filter { lease ->
+        val service = state.requests[lease.request]?.terms?.service
+        val document = service?.let { state.common.documents.inForce(it) }
+        lease.stage == LeaseStage.ASKED &&
+            (document == null || !mayAsk(state.common, document, lease.host))
+    }
+    return state.step().thenEach(unwanted) { next, lease ->
+        if (lease.lease in next.leases) {
+            releaseLease(next, lease.lease).then { refused(it, lease, unwanted()) }
+        } else {
+            next.step()
+        }
+    }
+}
+
 internal fun lateGrant() = Failure(
     ErrorKind.GROUP_UNAVAILABLE,
     "an endpoint of the group did not grant in time",
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PlacementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PlacementReducer.kt
@@ -26,7 +26,7 @@
         ?: return fail(state, record, ErrorKind.SERVICE_UNKNOWN, "the service was withdrawn")
     val candidates = candidates(state, document)
     if (needsGroup(record, candidates)) return placeGroup(state, record, document, candidates)
-    val ranked = rank(state, record, candidates.filter { it.record.host !in record.tried })
+    val ranked = rank(state, record, candidates.filter { mayTake(record, it) })
     val shortestWait = ranked.minOfOrNull { it.summary?.expectedWait ?: Duration.ZERO }
     return when {
         shortestWait == null -> waitForEndpoint(state, record, document, candidates)
@@ -71,6 +71,14 @@
         record.dataCentre !in document.dataCentresOut
 }
 
+/** Leaves out endpoints that refused lately, and those whose engine is too small in any case. */
+private fun mayTake(record: RequestRecord, candidate: PlacementCandidate): Boolean {
+    val need = record.promptNow + record.outputLeft
+    val memory = candidate.summary?.engineMemory ?: need
+    val fits = record.terms.kind != WorkKind.GENERATION || memory >= need
+    return fits && candidate.record.host !in record.tried
+}
+
 private fun rank(
     state: EntryState,
     record: RequestRecord,
@@ -167,7 +175,7 @@
         return fail(state, record, kind, detail, refusal?.retryAfter)
     }
     val counted = countRetry(state, record)
-    val untried = candidates(state, document).any { it.record.host !in record.tried }
+    val untried = candidates(state, document).any { mayTake(record, it) }
     return counted.then {
         if (untried && record.terms.kind != WorkKind.ACTION) {
             place(it, record)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryHarness.kt
@@ -84,7 +84,7 @@
         return effects.subList(start, effects.size).toList()
     }
 
-    fun connect(host: String, incarnation: String = "$host#1", free: Long = MEMORY): ConnectionId {
+    fun connect(host: String, incarnation: String = "$host#1"): ConnectionId {
         connections++
         val connection = ConnectionId(connections)
         val record = state.common.hosts.getValue(HostId(host))
@@ -97,11 +97,13 @@
                 record.dataCentre
             )
         )
-        val heartbeat = PeerMessage.Heartbeat(state.common.documents.hash, summary(free))
-        feed(PeerEvent.Received(HostId(host), connection, heartbeat))
+        answerHeartbeat(host)
         return connection
     }
 
+    fun answerHeartbeat(host: String): List<Effect> =
+        receive(host, PeerMessage.Heartbeat(state.common.documents.hash, summary()))
+
     fun disconnect(host: String): List<Effect> =
         feed(PeerEvent.Disconnected(HostId(host), connectionOf(host), "closed"))
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/PlacementReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/PlacementReducerTest.kt
@@ -8,6 +8,7 @@
 import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.HostId
+import org.gypsumroute.api.PeerEffect
 import org.gypsumroute.api.PeerMessage
 import org.gypsumroute.api.PlatformEvent.DocumentRead
 import org.gypsumroute.api.PrefixDigest
@@ -34,17 +35,24 @@
             agent("a5", "patan")
         )
         val entry = EntryHarness(listOf(thamelOut), hosts)
-        entry.disconnect("a5")
+        entry.advance(5.seconds)
+        entry.fire(TimerId.Heartbeat)
+        listOf("a1", "a2", "a3", "a4").forEach { entry.answerHeartbeat(it) }
+        repeat(4) { entry.advance(1.seconds) }
+        val fresh = entry.fire(TimerId.Heartbeat).filterIsInstance<PeerEffect.Connect>()
+        assertEquals(HostId("a5"), fresh.single().record.host)
         entry.generate("r")
         assertEquals(listOf(HostId("a3")), entry.leases("r").map { it.host })
     }
 
     @Test
-    fun `a grant from a data centre that was taken out meanwhile goes back unused`() {
+    fun `leases asked of a data centre that was taken out go back, and a late grant too`() {
         val entry = EntryHarness()
         entry.generate("r")
         val lease = entry.leases("r").first { it.host.value != "a3" }
-        entry.feed(DocumentRead(null, thamelOut.right()))
+        val taken = entry.feed(DocumentRead(null, thamelOut.right()))
+        assertTrue(lease.lease in taken.sent<PeerMessage.LeaseRelease>().map { it.lease })
+        assertEquals(listOf(HostId("a3")), entry.leases("r").map { it.host })
         val effects = entry.grant(lease)
         assertEquals(lease.lease, effects.sent<PeerMessage.LeaseRelease>().single().lease)
         assertTrue(effects.sent<PeerMessage.Dispatch>().isEmpty())
