Keep withdrawn actions from being called not run

The entry's own withdrawal of an action's lease was taken for the agent's word that the action had not run, though an earlier request may have had the same key.

mvn verify -pl gypsumroute-core -am passes; ActionsReducerTest covers the case.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasesReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasesReducer.kt
@@ -32,7 +32,7 @@
         record == null || lease.stage != LeaseStage.ASKED -> state.step()
 
         document == null || !mayAsk(state.common, document, lease.host) ->
-            releaseLease(state, id).then { refused(it, lease, unwanted()) }
+            releaseLease(state, id).then { refused(it, lease, unwanted(lease)) }
 
         lease.share != null -> grantMember(state, record, lease)
 
@@ -203,10 +203,9 @@
     return Failure(ErrorKind.NO_ENDPOINT, failure.detail, runState)
 }
 
-private fun unwanted() = Failure(
-    ErrorKind.NO_ENDPOINT,
-    "the endpoint left before it granted the request",
-    RunState.NOT_RUN
+private fun unwanted(lease: LeaseRecord): Failure = undispatched(
+    lease,
+    Failure(ErrorKind.NO_ENDPOINT, "${lease.host} may not get new work any more")
 )
 
 /** Documents or hosts changed: takes back what waits at endpoints that may not get new work. */
@@ -219,7 +218,7 @@
     }
     return state.step().thenEach(unwanted) { next, lease ->
         if (lease.lease in next.leases) {
-            releaseLease(next, lease.lease).then { refused(it, lease, unwanted()) }
+            releaseLease(next, lease.lease).then { refused(it, lease, unwanted(lease)) }
         } else {
             next.step()
         }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ActionsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ActionsReducerTest.kt
@@ -1,15 +1,18 @@
 package org.gypsumroute.core
 
+import arrow.core.right
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.ActionKey
 import org.gypsumroute.api.CallerEffect
 import org.gypsumroute.api.CallerEvent
+import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.PeerEffect
 import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.PlatformEvent.DocumentRead
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.ServiceId
@@ -83,6 +86,21 @@
         assertEquals(RunState.UNKNOWN, refused.failure().runState)
     }
 
+    @Test
+    fun `an action withdrawn from a data centre that is out is not called not run`() {
+        val entry = entry()
+        entry.print()
+        val out = testDocument(version = 2, service = "order-desk") {
+            document.document.copy(
+                version = it.version,
+                dataCentresOut = setOf(DataCentreId("thamel"))
+            )
+        }
+        val failure = entry.feed(DocumentRead(null, out.right())).failure()
+        assertEquals(ErrorKind.DATA_CENTRE_OUT, failure.kind)
+        assertEquals(RunState.UNKNOWN, failure.runState)
+    }
+
     @Test
     fun `a key's host without a connection is connected and its outcome unknown at the deadline`() {
         val entry = entry(connected = false)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/StreamsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/StreamsReducerTest.kt
@@ -6,10 +6,12 @@
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.Bytes
 import org.gypsumroute.api.CallerEffect
+import org.gypsumroute.api.CallerEvent
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.PeerMessage
 import org.gypsumroute.api.PlatformEvent
+import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
@@ -17,6 +19,49 @@
 
 /** Guards against answers that are cut off, too long or charged to a wrong run state. */
 class StreamsReducerTest {
+    @Test
+    fun `a request is asked for, granted, dispatched, completed and forgotten`() {
+        val entry = EntryHarness()
+        assertEquals(2, entry.generate("r").sent<PeerMessage.GrantRequest>().size)
+        val lease = entry.leases("r").first()
+        val granted = entry.grant(lease)
+        assertEquals(lease.lease, granted.sent<PeerMessage.Dispatch>().single().lease)
+        assertEquals(1, granted.sent<PeerMessage.LeaseRelease>().size)
+        assertTrue(granted.any { it is CallerEffect.Upload })
+        val completed = entry.complete(lease)
+        assertEquals(lease.lease, completed.sent<PeerMessage.LeaseRelease>().single().lease)
+        val taken = entry.feed(CallerEvent.AnswerTaken(RequestId("r")))
+        assertTrue(CallerEffect.Forget(RequestId("r")) in taken)
+        val fresh = EntryState(entry.state.common)
+        val kept = entry.state.copy(
+            deadlines = fresh.deadlines,
+            nextLease = fresh.nextLease,
+            retryBudget = fresh.retryBudget
+        )
+        assertEquals(fresh, kept, "something of the request is still held")
+    }
+
+    @Test
+    fun `a late grant is released and not dispatched a second time`() {
+        val entry = EntryHarness()
+        entry.generate("r")
+        val (first, second) = entry.leases("r")
+        entry.grant(first)
+        val late = entry.grant(second)
+        assertEquals(second.lease, late.sent<PeerMessage.LeaseRelease>().single().lease)
+        assertTrue(late.sent<PeerMessage.Dispatch>().isEmpty())
+    }
+
+    @Test
+    fun `a deadline before dispatch is answered with not_run and returns the leases`() {
+        val entry = EntryHarness()
+        entry.generate("r", timeout = 2.seconds)
+        val expired = entry.advance(2.seconds)
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED, expired.failure().kind)
+        assertEquals(RunState.NOT_RUN, expired.failure().runState)
+        assertEquals(2, expired.sent<PeerMessage.LeaseRelease>().size)
+    }
+
     @Test
     fun `generation moves on with the output limit reduced by each delivered part`() {
         val entry = EntryHarness()
