--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/StreamsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/StreamsReducerTest.kt
@@ -154,25 +154,33 @@
     }
 
     @Test
-    fun `the oldest stalled reader of an organisation over its budget is dropped`() {
+    fun `the reader that has been stalled for longest is dropped, not one that catches up`() {
         val entry = EntryHarness(hosts = (1..3).map { agent("a$it") })
-        val mebibyte = 1024L * 1024
-        val leases = listOf("r", "s", "t").map { id ->
+        fun held(lease: LeaseRecord, mebibytes: Long) =
+            entry.progress(lease, 1, mebibytes * 1024 * 1024)
+        val (reading, stalled, other) = listOf("r", "s", "t").map { id ->
             entry.generate(id, key = if (id == "t") "digest-2" else "digest-1")
             entry.run(id)
         }
-        entry.progress(leases[2], 1, 4 * mebibyte)
-        entry.progress(leases[0], 1, 5 * mebibyte)
+        listOf(other, reading, stalled).forEach { held(it, 3) }
         entry.advance(1.seconds)
-        val over = entry.progress(leases[1], 1, 5 * mebibyte)
-        assertEquals(leases[0].request, over.failures().single().request)
+        held(reading, 2)
+        val over = held(stalled, 7)
+        assertEquals(stalled.request, over.failures().single().request)
         assertEquals(ErrorKind.READER_TOO_SLOW, over.failure().kind)
-        assertEquals(leases[0].lease, over.sent<PeerMessage.LeaseRelease>().single().lease)
-        entry.state = entry.state.copy(
-            largestBufferedBytes = Bytes(8 * mebibyte)
-        )
-        val total = entry.progress(leases[1], 2, 6 * mebibyte)
-        assertEquals(leases[2].request, total.failures().single().request)
+        assertEquals(stalled.lease, over.sent<PeerMessage.LeaseRelease>().single().lease)
+        entry.state = entry.state.copy(largestBufferedBytes = Bytes(8L * 1024 * 1024))
+        assertEquals(other.request, held(reading, 6).failures().single().request)
+    }
+
+    @Test
+    fun `the deadline of an ended request does not fail a later one of the same id`() {
+        val entry = EntryHarness()
+        entry.generate("r", timeout = 2.seconds)
+        entry.feed(CallerEvent.Left(RequestId("r")))
+        entry.generate("r", timeout = 10.seconds)
+        assertTrue(entry.advance(3.seconds).failures().isEmpty())
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED, entry.advance(7.seconds).failure().kind)
     }
 
     @Test
