--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasesReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasesReducer.kt
@@ -32,7 +32,7 @@
         record == null || lease.stage != LeaseStage.ASKED -> state.step()
 
         document == null || !mayAsk(state.common, document, lease.host) ->
-            releaseLease(state, id).then { refused(it, lease, unwanted()) }
+            releaseLease(state, id).then { refused(it, lease, unwanted(lease)) }
 
         lease.share != null -> grantMember(state, record, lease)
 
@@ -200,15 +200,31 @@
  */
 private fun undispatched(lease: LeaseRecord, failure: Failure): Failure {
     val runState = if (lease.kind == WorkKind.ACTION) RunState.UNKNOWN else RunState.NOT_RUN
-    return failure.copy(runState = runState)
+    return Failure(ErrorKind.NO_ENDPOINT, failure.detail, runState)
 }
 
-private fun unwanted() = Failure(
-    ErrorKind.NO_ENDPOINT,
-    "the endpoint left before it granted the request",
-    RunState.NOT_RUN
+private fun unwanted(lease: LeaseRecord): Failure = undispatched(
+    lease,
+    Failure(ErrorKind.NO_ENDPOINT, "${lease.host} may not get new work any more")
 )
 
+/** Documents or hosts changed: takes back what waits at endpoints that may not get new work. */
+internal fun withdrawUnwanted(state: EntryState): Step<EntryState> {
+    val unwanted = state.leases.values.filter { lease ->
+        val service = state.requests[lease.request]?.terms?.service
+        val document = service?.let { state.common.documents.inForce(it) }
+        lease.stage == LeaseStage.ASKED &&
+            (document == null || !mayAsk(state.common, document, lease.host))
+    }
+    return state.step().thenEach(unwanted) { next, lease ->
+        if (lease.lease in next.leases) {
+            releaseLease(next, lease.lease).then { refused(it, lease, unwanted(lease)) }
+        } else {
+            next.step()
+        }
+    }
+}
+
 internal fun lateGrant() = Failure(
     ErrorKind.GROUP_UNAVAILABLE,
     "an endpoint of the group did not grant in time",
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PlacementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PlacementReducer.kt
@@ -26,7 +26,7 @@
         ?: return fail(state, record, ErrorKind.SERVICE_UNKNOWN, "the service was withdrawn")
     val candidates = candidates(state, document)
     if (needsGroup(record, candidates)) return placeGroup(state, record, document, candidates)
-    val ranked = rank(state, record, candidates.filter { it.record.host !in record.tried })
+    val ranked = rank(state, record, candidates.filter { mayTake(record, it) })
     val shortestWait = ranked.minOfOrNull { it.summary?.expectedWait ?: Duration.ZERO }
     return when {
         shortestWait == null -> waitForEndpoint(state, record, document, candidates)
@@ -71,6 +71,14 @@
         record.dataCentre !in document.dataCentresOut
 }
 
+/** Leaves out endpoints that refused lately, and those whose engine is too small in any case. */
+private fun mayTake(record: RequestRecord, candidate: PlacementCandidate): Boolean {
+    val need = record.promptNow + record.outputLeft
+    val memory = candidate.summary?.engineMemory ?: need
+    val fits = record.terms.kind != WorkKind.GENERATION || memory >= need
+    return fits && candidate.record.host !in record.tried
+}
+
 private fun rank(
     state: EntryState,
     record: RequestRecord,
@@ -109,7 +117,9 @@
         val kind = if (candidates.isEmpty()) missing(state, document) else scarce
         return fail(state, record, kind, "no endpoint could take the request in time")
     }
-    return waitFor(state, record.copy(waits = record.waits + 1), wait)
+    // After the wait, hosts that refused may be asked again.
+    val waiting = record.copy(waits = record.waits + 1, tried = persistentSetOf())
+    return waitFor(state, waiting, wait)
 }
 
 private fun missing(state: EntryState, document: ServiceDocument): ErrorKind {
@@ -119,9 +129,14 @@
     return if (out) ErrorKind.DATA_CENTRE_OUT else ErrorKind.NO_ENDPOINT
 }
 
-/** Puts the request aside until its timer fires; then all endpoints may be asked again. */
+private fun askedLease(state: EntryState, record: RequestRecord): LeaseRecord? =
+    record.leases.firstNotNullOfOrNull { id ->
+        state.leases[id]?.takeIf { it.stage == LeaseStage.ASKED }
+    }
+
+/** Puts the request aside until its timer fires. */
 internal fun waitFor(state: EntryState, record: RequestRecord, wait: Duration): Step<EntryState> =
-    state.withRequest(record.copy(phase = RequestPhase.WAITING, tried = persistentSetOf()))
+    state.withRequest(record.copy(phase = RequestPhase.WAITING))
         .step(attemptTimer(record.id, wait))
 
 internal fun attemptTimer(request: RequestId, wait: Duration): Effect =
@@ -136,7 +151,7 @@
         record.phase == RequestPhase.WAITING -> place(state, record)
 
         record.phase == RequestPhase.ASKING && record.group != null ->
-            failGroup(state, record, lateGrant(), null)
+            failGroup(state, record, lateGrant(), askedLease(state, record))
 
         record.phase == RequestPhase.ASKING && record.terms.kind == null ->
             retry(state, record.withTried(record.asked))
@@ -156,15 +171,16 @@
     val refusal = record.lastRefusal
     if (wait == null) {
         val kind = refusal?.kind ?: ErrorKind.OVERLOADED
-        return fail(state, record, kind, refusal?.detail ?: "no endpoint took the request")
+        val detail = refusal?.detail ?: "no endpoint took the request"
+        return fail(state, record, kind, detail, refusal?.retryAfter)
     }
     val counted = countRetry(state, record)
-    val untried = candidates(state, document).any { it.record.host !in record.tried }
+    val untried = candidates(state, document).any { mayTake(record, it) }
     return counted.then {
         if (untried && record.terms.kind != WorkKind.ACTION) {
             place(it, record)
         } else {
-            waitFor(it, record, wait)
+            waitFor(it, record.copy(tried = persistentSetOf()), wait)
         }
     }
 }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryHarness.kt
@@ -1,5 +1,6 @@
 package org.gypsumroute.core
 
+import arrow.core.right
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -54,7 +55,7 @@
     private var connections = 0L
 
     init {
-        documents.forEach { feed(PlatformEvent.DocumentRead(null, arrow.core.Either.Right(it))) }
+        documents.forEach { feed(PlatformEvent.DocumentRead(null, it.right())) }
         feed(PlatformEvent.HostsRead(hosts))
         if (connected) hosts.filter { it.role == NodeRole.AGENT }.forEach { connect(it.host.value) }
         effects.clear()
@@ -83,7 +84,7 @@
         return effects.subList(start, effects.size).toList()
     }
 
-    fun connect(host: String, incarnation: String = "$host#1", free: Long = MEMORY): ConnectionId {
+    fun connect(host: String, incarnation: String = "$host#1"): ConnectionId {
         connections++
         val connection = ConnectionId(connections)
         val record = state.common.hosts.getValue(HostId(host))
@@ -96,11 +97,13 @@
                 record.dataCentre
             )
         )
-        val heartbeat = PeerMessage.Heartbeat(state.common.documents.hash, summary(free))
-        feed(PeerEvent.Received(HostId(host), connection, heartbeat))
+        answerHeartbeat(host)
         return connection
     }
 
+    fun answerHeartbeat(host: String): List<Effect> =
+        receive(host, PeerMessage.Heartbeat(state.common.documents.hash, summary()))
+
     fun disconnect(host: String): List<Effect> =
         feed(PeerEvent.Disconnected(HostId(host), connectionOf(host), "closed"))
 
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/StreamsReducerTest.kt
@@ -0,0 +1,198 @@
+package org.gypsumroute.core
+
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.CallerEffect
+import org.gypsumroute.api.CallerEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.PlatformEvent
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.Tokens
+import org.junit.jupiter.api.Test
+
+/** Guards against answers that are cut off, too long or charged to a wrong run state. */
+class StreamsReducerTest {
+    @Test
+    fun `a request is asked for, granted, dispatched, completed and forgotten`() {
+        val entry = EntryHarness()
+        assertEquals(2, entry.generate("r").sent<PeerMessage.GrantRequest>().size)
+        val lease = entry.leases("r").first()
+        val granted = entry.grant(lease)
+        assertEquals(lease.lease, granted.sent<PeerMessage.Dispatch>().single().lease)
+        assertEquals(1, granted.sent<PeerMessage.LeaseRelease>().size)
+        assertTrue(granted.any { it is CallerEffect.Upload })
+        val completed = entry.complete(lease)
+        assertEquals(lease.lease, completed.sent<PeerMessage.LeaseRelease>().single().lease)
+        val taken = entry.feed(CallerEvent.AnswerTaken(RequestId("r")))
+        assertTrue(CallerEffect.Forget(RequestId("r")) in taken)
+        val fresh = EntryState(entry.state.common)
+        val kept = entry.state.copy(
+            deadlines = fresh.deadlines,
+            nextLease = fresh.nextLease,
+            retryBudget = fresh.retryBudget
+        )
+        assertEquals(fresh, kept, "something of the request is still held")
+    }
+
+    @Test
+    fun `a late grant is released and not dispatched a second time`() {
+        val entry = EntryHarness()
+        entry.generate("r")
+        val (first, second) = entry.leases("r")
+        entry.grant(first)
+        val late = entry.grant(second)
+        assertEquals(second.lease, late.sent<PeerMessage.LeaseRelease>().single().lease)
+        assertTrue(late.sent<PeerMessage.Dispatch>().isEmpty())
+    }
+
+    @Test
+    fun `a deadline before dispatch is answered with not_run and returns the leases`() {
+        val entry = EntryHarness()
+        entry.generate("r", timeout = 2.seconds)
+        val expired = entry.advance(2.seconds)
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED, expired.failure().kind)
+        assertEquals(RunState.NOT_RUN, expired.failure().runState)
+        assertEquals(2, expired.sent<PeerMessage.LeaseRelease>().size)
+    }
+
+    @Test
+    fun `generation moves on with the output limit reduced by each delivered part`() {
+        val entry = EntryHarness()
+        entry.generate("r", prompt = 1_000, output = 100)
+        val first = entry.run("r")
+        entry.progress(first, 30)
+        val moved = entry.failWork(first, ErrorKind.ENGINE_FAILED, RunState.RAN)
+        val order = moved.sent<PeerMessage.GrantRequest>().first().order
+        assertEquals(Tokens(1_030) to Tokens(70), order.promptTokens to order.outputLimit)
+        val second = entry.leases("r").first()
+        assertNotEquals(first.host, second.host)
+        val dispatched = entry.grant(second).sent<PeerMessage.Dispatch>().single()
+        assertEquals(Tokens(70), dispatched.outputLimit)
+        entry.progress(first, 90)
+        entry.progress(second, 20)
+        val third = entry.failWork(second, ErrorKind.ENGINE_FAILED, RunState.RAN)
+        val last = third.sent<PeerMessage.GrantRequest>().first().order
+        assertEquals(Tokens(50), last.outputLimit)
+    }
+
+    @Test
+    fun `a reconnected endpoint resumes the same lease and keeps its first output limit`() {
+        val entry = EntryHarness()
+        entry.generate("r")
+        val lease = entry.run("r")
+        entry.progress(lease, 30)
+        entry.disconnect(lease.host.value)
+        val start = entry.effects.size
+        val connection = entry.connect(lease.host.value)
+        val effects = entry.effects.drop(start)
+        val dispatch = effects.sent<PeerMessage.Dispatch>().single()
+        assertEquals(lease.lease to Tokens(100), dispatch.lease to dispatch.outputLimit)
+        val resume = CallerEffect.ResumeAnswer(lease.request, lease.lease, connection)
+        assertTrue(resume in effects && effects.none { it is CallerEffect.Upload })
+    }
+
+    @Test
+    fun `a restarted agent's and a silent agent's work moves to another endpoint`() {
+        val entry = EntryHarness()
+        entry.generate("r")
+        val first = entry.run("r")
+        entry.connect(first.host.value, incarnation = "restarted")
+        val second = entry.leases("r").first { it.host != first.host }
+        entry.grant(second)
+        entry.disconnect(second.host.value)
+        entry.fire(TimerId.PeerSilence(second.host))
+        assertEquals(listOf(second.host), entry.leases("r").map { it.host }, "moved too early")
+        entry.advance(5.seconds)
+        entry.fire(TimerId.PeerSilence(second.host))
+        assertTrue(entry.leases("r").isNotEmpty() && entry.leases("r").none { it == second })
+        assertTrue(entry.leases("r").none { it.host == second.host })
+    }
+
+    @Test
+    fun `after a pause expired requests fail before a grant is acted on`() {
+        val entry = EntryHarness()
+        entry.generate("r", timeout = 3.seconds)
+        val lease = entry.leases("r").first()
+        entry.now += 60.seconds
+        val woken = entry.grant(lease)
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED, woken.failure().kind)
+        assertTrue(woken.sent<PeerMessage.Dispatch>().isEmpty())
+    }
+
+    @Test
+    fun `the run state at the deadline tells what became of each dispatched lease`() {
+        fun stateAtDeadline(act: EntryHarness.(LeaseRecord) -> Unit): RunState {
+            val entry = EntryHarness()
+            entry.generate("r", timeout = 3.seconds)
+            entry.act(entry.run("r"))
+            return entry.advance(3.seconds).failure().runState
+        }
+        assertEquals(RunState.UNKNOWN, stateAtDeadline { })
+        assertEquals(RunState.RAN, stateAtDeadline { progress(it, 1) })
+        val refused = stateAtDeadline { failWork(it, ErrorKind.ENGINE_REFUSED, RunState.NOT_RUN) }
+        assertEquals(RunState.NOT_RUN, refused)
+        val lost = stateAtDeadline { failWork(it, ErrorKind.LEASE_EXPIRED, RunState.UNKNOWN) }
+        assertEquals(RunState.UNKNOWN, lost)
+    }
+
+    @Test
+    fun `heartbeats renew all leases of a peer`() {
+        val entry = EntryHarness()
+        entry.generate("r")
+        val lease = entry.run("r")
+        val renewal = entry.fire(TimerId.Heartbeat).sent<PeerMessage.LeaseRenewal>().single()
+        assertEquals(listOf(lease.lease), renewal.leases)
+        entry.complete(lease)
+        assertTrue(entry.fire(TimerId.Heartbeat).sent<PeerMessage.LeaseRenewal>().isEmpty())
+    }
+
+    @Test
+    fun `the reader that has been stalled for longest is dropped, not one that catches up`() {
+        val entry = EntryHarness(hosts = (1..3).map { agent("a$it") })
+        fun held(lease: LeaseRecord, mebibytes: Long) =
+            entry.progress(lease, 1, mebibytes * 1024 * 1024)
+        val (reading, stalled, other) = listOf("r", "s", "t").map { id ->
+            entry.generate(id, key = if (id == "t") "digest-2" else "digest-1")
+            entry.run(id)
+        }
+        listOf(other, reading, stalled).forEach { held(it, 3) }
+        entry.advance(1.seconds)
+        held(reading, 2)
+        val over = held(stalled, 7)
+        assertEquals(stalled.request, over.failures().single().request)
+        assertEquals(ErrorKind.READER_TOO_SLOW, over.failure().kind)
+        assertEquals(stalled.lease, over.sent<PeerMessage.LeaseRelease>().single().lease)
+        entry.state = entry.state.copy(largestBufferedBytes = Bytes(8L * 1024 * 1024))
+        assertEquals(other.request, held(reading, 6).failures().single().request)
+    }
+
+    @Test
+    fun `the deadline of an ended request does not fail a later one of the same id`() {
+        val entry = EntryHarness()
+        entry.generate("r", timeout = 2.seconds)
+        entry.feed(CallerEvent.Left(RequestId("r")))
+        entry.generate("r", timeout = 10.seconds)
+        assertTrue(entry.advance(3.seconds).failures().isEmpty())
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED, entry.advance(7.seconds).failure().kind)
+    }
+
+    @Test
+    fun `an endpoint that left the host list without a word loses its work`() {
+        val entry = EntryHarness()
+        entry.generate("r")
+        val lease = entry.run("r")
+        entry.disconnect(lease.host.value)
+        val rest = entry.state.common.hosts.values.filter { it.host != lease.host }
+        entry.feed(PlatformEvent.HostsRead(rest))
+        entry.advance(5.seconds)
+        entry.fire(TimerId.PeerSilence(HostId(lease.host.value)))
+        assertTrue(entry.leases("r").isNotEmpty() && entry.leases("r").none { it == lease })
+    }
+}
