Check the agent against a modelled engine with random events

Adds two properties with fixed seeds: an engine that loses cancels, lags and restarts is never overloaded and holds nothing in the end, and an action starts at most once. Refuses work whose prefill outlasts its deadline at once, and withdraws instead of frees a grant whose body fails, so that an action's claim goes with it.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DispatchReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DispatchReducer.kt
@@ -99,8 +99,8 @@
         EngineEffect.CallService(lease.id, lease.order.path.orEmpty())
 }
 
-/** Withdraws granted work that the engine has not seen, because the endpoint turned cold. */
-internal fun revoke(state: AgentState, lease: Lease): Step<AgentState> {
-    val failure = Failure(ErrorKind.ENGINE_REFUSED, "the engine turned cold", RunState.NOT_RUN)
+/** Withdraws granted work that the engine has not seen. */
+internal fun revoke(state: AgentState, lease: Lease, cause: String): Step<AgentState> {
+    val failure = Failure(ErrorKind.ENGINE_REFUSED, cause, RunState.NOT_RUN)
     return endLease(state, lease).then { Step(it, it.workFailed(lease, failure)) }
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EngineOrders.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EngineOrders.kt
@@ -49,7 +49,7 @@
     val unanswered = orders.outstanding != null && orders.lastOrderAt != null &&
         now - orders.lastOrderAt < state.common.timings.orderDwell
     return when {
-        model == null || model == report.loaded ->
+        model == null || model == report.loaded || isDraining(state) ->
             state.copy(orders = orders.copy(wanted = false, outstanding = null)).step()
 
         unanswered -> state.step()
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EngineWork.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EngineWork.kt
@@ -91,42 +91,48 @@
     val id = event.lease
     val reservation = state.ledger[id] ?: return state.step()
     val lease = state.leases[id]
-    val seen = event.reached && reservation.hold != EngineHold.PLANNED
     return when (reservation.hold) {
         EngineHold.EXPORTED, EngineHold.RELEASING -> state.step()
 
-        EngineHold.CANCELLING -> if (seen) state.step() else free(state, id)
+        EngineHold.CANCELLING -> if (event.reached) state.step() else free(state, id)
 
-        EngineHold.OPEN, EngineHold.PLANNED -> {
-            val ended = state.copy(leases = state.leases.remove(id))
+        EngineHold.PLANNED -> if (lease == null) state.step() else revoke(state, lease, event.cause)
+
+        EngineHold.OPEN -> {
+            val messages = lease?.let { state.workFailed(it, streamFailure(event)) }.orEmpty()
+            state.copy(leases = state.leases.remove(id))
                 .step(RuntimeEffect.CancelTimer(TimerId.Lease(id)))
-                .then { if (seen) cancel(it, id) else free(it, id) }
-            val messages = lease?.let { state.workFailed(it, streamFailure(seen, event.cause)) }
-            ended.then { Step(it, messages.orEmpty()) }.then { issueRead(it) }
+                .then { if (event.reached) cancel(it, id) else free(it, id) }
+                .then { Step(it, messages) }
+                .then { issueRead(it) }
         }
     }
 }
 
-private fun streamFailure(reached: Boolean, cause: String): Failure = if (reached) {
-    Failure(ErrorKind.ENGINE_FAILED, cause, RunState.RAN)
+private fun streamFailure(event: EngineEvent.StreamFailed): Failure = if (event.reached) {
+    Failure(ErrorKind.ENGINE_FAILED, event.cause, RunState.RAN)
 } else {
-    Failure(ErrorKind.ENGINE_REFUSED, cause, RunState.NOT_RUN)
+    Failure(ErrorKind.ENGINE_REFUSED, event.cause, RunState.NOT_RUN)
 }
 
 /** The engine holds nothing of a cancelled stream any more. */
-internal fun reduceCancelConfirmed(state: AgentState, id: LeaseId): Step<AgentState> {
-    val orphan = state.copy(
-        engine = state.engine.copy(
-            orphanStreams = state.engine.orphanStreams.remove(id),
-            gone = state.engine.gone.put(id, state.common.now)
-        )
-    )
-    return when (state.ledger[id]?.hold) {
+internal fun reduceCancelConfirmed(state: AgentState, id: LeaseId): Step<AgentState> =
+    when (state.ledger[id]?.hold) {
         EngineHold.CANCELLING -> free(state, id)
         EngineHold.OPEN -> loseStream(state, id, "the engine dropped the stream")
-        null -> orphan.step()
+        null -> forgetOrphan(state, id).step()
         else -> state.step()
     }
+
+private fun forgetOrphan(state: AgentState, id: LeaseId): AgentState {
+    val engine = state.engine
+    if (id !in engine.orphanStreams) return state
+    return state.copy(
+        engine = engine.copy(
+            orphanStreams = engine.orphanStreams.remove(id),
+            gone = engine.gone.put(id, state.common.now)
+        )
+    )
 }
 
 /** Frees a stream that the engine lost, and fails its lease. */
@@ -199,17 +205,21 @@
     val reservation = state.ledger[id] ?: return state.step()
     val hold = state.common.now - reservation.grantedAt
     val average = state.averageHold?.let { it + (hold - it) / HOLD_SAMPLES } ?: hold
+    val gone = state.engine.gone
     val next = state.copy(
         ledger = state.ledger.remove(id),
         averageHold = if (reservation.openedAt == null) state.averageHold else average,
-        engine = state.engine.copy(gone = state.engine.gone.put(id, state.common.now))
+        engine = state.engine.copy(
+            gone = if (reservation.onEngine) gone.put(id, state.common.now) else gone
+        )
     )
     val kept = id in state.leases || isRecorded(state, reservation)
     return if (kept) next.step() else next.step(EngineEffect.ForgetLease(id))
 }
 
 private fun isRecorded(state: AgentState, reservation: Reservation): Boolean =
-    reservation.action?.let { state.actions.records[it] }?.lease == reservation.lease
+    reservation.action?.let { state.actions.records[it] } ==
+        ActionRecord(reservation.lease, ActionPhase.DONE)
 
 /** The average hold time follows about this many latest streams. */
 private const val HOLD_SAMPLES = 8
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GrantsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GrantsReducer.kt
@@ -41,6 +41,9 @@
 
         refusal != null -> refuse(state, lease, refusal)
 
+        lease.latestStart <= state.common.now ->
+            refuse(state, lease, lateFailure("the prefill would outlast the time left"))
+
         document == null -> state.step()
 
         else -> enqueue(state, lease).then { grantWaiting(it) }.then { current ->
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasesReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasesReducer.kt
@@ -6,6 +6,7 @@
  */
 package org.gypsumroute.core
 
+import kotlin.time.Duration
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.EngineEffect
 import org.gypsumroute.api.ErrorKind
@@ -30,7 +31,12 @@
     return state.copy(
         leases = state.leases.put(lease.id, lease.copy(wakeAt = due)),
         deadlines = state.deadlines.add(due, lease.id)
-    ).step(RuntimeEffect.SetTimer(TimerId.Lease(lease.id), due - state.common.now))
+    ).step(
+        RuntimeEffect.SetTimer(
+            TimerId.Lease(lease.id),
+            maxOf(due - state.common.now, Duration.ZERO)
+        )
+    )
 }
 
 /** The lease if the entry process that now uses the connection to [peer] holds it. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Reconciliation.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Reconciliation.kt
@@ -55,6 +55,7 @@
 
 internal fun reduceStateRead(state: AgentState, report: EngineState): Step<AgentState> {
     val issuedAt = state.engine.readIssuedAt ?: state.engine.lastReadIssuedAt
+    val expected = state.engine.readIssuedAt != null
     val before = state.engine.state
     val restarted = before != null && before.incarnation != report.incarnation
     val read = state.copy(
@@ -67,7 +68,7 @@
     )
     return read.step()
         .then { if (restarted) replaceEngine(it, state.engine.lastReadIssuedAt) else it.step() }
-        .then { confirmAbsent(it, report) }
+        .then { if (expected) confirmAbsent(it, report) else it.step() }
         .then { reconcileOrphans(it, report) }
         .map { it.copy(engine = it.engine.copy(unexplained = unexplained(it, report))) }
         .then { considerOrder(it) }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/WarmthReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/WarmthReducer.kt
@@ -66,6 +66,12 @@
         val fits = document != null && current.fits(document, demand)
         val restored = current.copy(ledger = current.ledger.put(reservation))
         val lease = current.leases[reservation.lease]
-        if (fits || lease == null) restored.step() else revoke(restored, lease)
+        if (fits ||
+            lease == null
+        ) {
+            restored.step()
+        } else {
+            revoke(restored, lease, "the endpoint turned cold")
+        }
     }
 }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentFixture.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentFixture.kt
@@ -188,3 +188,12 @@
 internal fun List<Effect>.failure() = sent<PeerMessage.WorkFailed>().single().failure
 
 internal val notRun = RunState.NOT_RUN
+
+/** Asks the agent for an action key. */
+internal fun AgentFixture.issueKey(): ActionKey = send(
+    PeerMessage.ActionKeyRequest(
+        RequestId("key"),
+        ServiceId("menu-writer"),
+        OrganisationId("everest-cafe")
+    )
+).sent<PeerMessage.ActionKeyIssued>().single().key
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentReducerPropertyTest.kt
@@ -0,0 +1,228 @@
+package org.gypsumroute.core
+
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EngineEffect
+import org.gypsumroute.api.EngineEvent
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.WorkKind
+
+/** Guards against overloaded engines, leaked memory and late or repeated work, in any order. */
+class AgentReducerPropertyTest {
+    @Property(seed = "7301", tries = 300)
+    fun `an agent keeps its engine within its limits and leaks nothing`(@ForAll seed: Long) {
+        EngineRun(Random(seed)).run()
+    }
+
+    @Property(seed = "7302", tries = 300)
+    fun `an action starts at most once`(@ForAll seed: Long) {
+        ActionRun(Random(seed)).run()
+    }
+}
+
+/** One random history of an agent beside a modelled engine. */
+private class EngineRun(private val random: Random) {
+    private val initialShare = listOf(0.1, 0.5).random(random)
+    private val agent = AgentFixture(
+        listOf(testDocument { it.copy(ramp = it.ramp.copy(initialShare = initialShare)) }),
+        agentPolicies
+    )
+    private val prompts = mutableMapOf<LeaseId, Long>()
+    private val engine = EngineModelled(random) { prompts.getValue(it) }
+    private val grantedAt = mutableMapOf<LeaseId, Moment>()
+    private val opened = mutableSetOf<LeaseId>()
+    private var nextCheck = agent.now
+
+    fun run() {
+        repeat(600) { randomStep() }
+        assertTrue(opened.size >= 5, "only ${opened.size} opened")
+        agent.state.leases.keys.forEach { observe(agent.release(it.value)) }
+        repeat(80) {
+            advance(1.seconds)
+            while (engine.pending.isNotEmpty()) deliver()
+        }
+        assertEquals(emptySet(), agent.state.leases.keys.toSet())
+        assertEquals(emptySet(), agent.state.ledger.reservations.keys.toSet())
+        assertEquals(Tokens.ZERO to 0, agent.state.ledger.reserved to agent.state.ledger.running)
+        assertEquals(Tokens.ZERO, agent.state.ledger.prefilling)
+        assertEquals(0L, engine.used)
+    }
+
+    private fun randomStep() {
+        when (random.nextInt(20)) {
+            in 0..3 -> ask()
+
+            in 4..6 -> some(LeasePhase.GRANTED)?.let { observe(agent.dispatch(it.value)) }
+
+            in 7..9 -> some(LeasePhase.RECEIVING)?.let(::receive)
+
+            in 10..13 -> deliver()
+
+            in 14..15 -> engine.finishOne()
+
+            16 -> if (chance(3)) some(LeasePhase.entries.random(random))?.let(::release)
+
+            17 -> observe(agent.renew(*agent.state.leases.keys.map { it.value }.toTypedArray()))
+
+            18 -> advance(random.nextInt(2_000).milliseconds)
+
+            19 -> if (chance(15)) {
+                engine.restart()
+            } else if (chance(4)) {
+                advance(12.seconds)
+            }
+        }
+    }
+
+    /** A lease in the given phase, now and then any lease that ever was. */
+    private fun some(phase: LeasePhase): LeaseId? = if (chance(20)) {
+        prompts.keys.randomOrNull(random)
+    } else {
+        agent.state.leases.values.filter { it.phase == phase }.randomOrNull(random)?.id
+    }
+
+    private fun receive(lease: LeaseId) = observe(agent.feed(EngineEvent.BodyReceived(lease)))
+
+    private fun release(lease: LeaseId) = observe(agent.release(lease.value))
+
+    private fun chance(oneIn: Int) = random.nextInt(oneIn) == 0
+
+    private fun ask() {
+        val lease = LeaseId("lease-${prompts.size}")
+        val (prompt, name) = listOf(1_000L to "short", 20_000L to "medium", 40_000L to "medium")
+            .random(random)
+        prompts[lease] = prompt
+        val segment = random.nextInt(6) == 0
+        observe(
+            agent.ask(lease.value) { order ->
+                val sized = order.sized(prompt, name)
+                if (segment) sized.segment() else sized
+            }
+        )
+    }
+
+    private fun deliver() {
+        if (engine.pending.isEmpty()) return
+        observe(agent.feed(engine.pending.removeAt(random.nextInt(engine.pending.size))))
+    }
+
+    private fun advance(time: Duration) {
+        val until = agent.now + time
+        while (nextCheck <= until) {
+            agent.pass(maxOf(nextCheck - agent.now, Duration.ZERO)).also(::observe)
+            nextCheck = agent.now + 2.seconds
+            observe(agent.feed(RuntimeEvent.TimerFired(TimerId.EngineCheck)))
+        }
+        observe(agent.pass(maxOf(until - agent.now, Duration.ZERO)))
+    }
+
+    private fun observe(effects: List<Effect>) {
+        effects.sent<PeerMessage.GrantIssued>().forEach {
+            grantedAt.putIfAbsent(it.lease, agent.now)
+        }
+        for (effect in effects) {
+            when (effect) {
+                is EngineEffect.ReceiveBody -> checkReceived(effect.lease)
+                is EngineEffect.OpenStream -> checkOpened(effect.lease)
+                is EngineEffect.PrefillSegment -> checkOpened(effect.lease)
+                else -> Unit
+            }
+            engine.apply(effect)
+        }
+        val reserved = agent.state.ledger.reserved
+        assertTrue(reserved <= Tokens(100_000), "$reserved tokens reserved")
+        assertTrue(engine.used <= 100_000, "the engine holds ${engine.used} tokens")
+    }
+
+    private fun checkReceived(lease: LeaseId) {
+        val held = agent.state.leases.getValue(lease)
+        val late = agent.now >= grantedAt.getValue(lease) + 5.seconds
+        val renewable = held.order.kind == WorkKind.SEGMENT
+        val repeated = lease in received
+        assertTrue(!late || renewable || repeated, "grant of $lease was used too late")
+        received += lease
+    }
+
+    private val received = mutableSetOf<LeaseId>()
+
+    private fun checkOpened(lease: LeaseId) {
+        assertTrue(opened.add(lease), "$lease was opened twice")
+        val document = agent.state.common.documents.inForce(order("a").service)!!
+        val ledger = agent.state.ledger
+        val share = agent.state.shareFor(document)
+        assertTrue(ledger.running <= agent.state.slotLimit(document), "share $share: too many")
+        val alone = ledger.running == 1
+        assertTrue(alone || share >= 1 || ledger.prefilling.count <= share * 100_000)
+    }
+}
+
+/** One random history of an agent beside a plain service. */
+private class ActionRun(private val random: Random) {
+    private val document = testDocument { plain(it, kept = 2) }
+    private val agent = AgentFixture(listOf(document))
+    private val keys = (1..4).map { agent.issueKey() }
+    private val leases = mutableMapOf<LeaseId, Int>()
+    private val starts = mutableMapOf<Int, Int>()
+    private val running = mutableListOf<LeaseId>()
+
+    fun run() = repeat(300) {
+        when (random.nextInt(7)) {
+            0 -> ask()
+            1 -> some()?.let { observe(agent.dispatch(it.value)) }
+            2 -> some()?.let { observe(agent.feed(EngineEvent.BodyReceived(it))) }
+            3 -> if (random.nextInt(3) == 0) some()?.let { observe(agent.release(it.value)) }
+            4 -> observe(agent.pass(random.nextInt(2_000).milliseconds))
+            5 -> endCall()
+            6 -> some()?.let { observe(agent.renew(it.value)) }
+        }
+    }
+
+    /** Mostly a lease that the agent holds, otherwise any that ever was. */
+    private fun some(): LeaseId? =
+        agent.state.leases.keys.takeIf { random.nextInt(5) > 0 }?.randomOrNull(random)
+            ?: leases.keys.randomOrNull(random)
+
+    private fun ask() {
+        val lease = LeaseId("lease-${leases.size}")
+        val key = random.nextInt(keys.size)
+        leases[lease] = key
+        observe(agent.ask(lease.value) { it.action(keys[key]) })
+    }
+
+    private fun endCall() {
+        val lease = running.randomOrNull(random) ?: return
+        running -= lease
+        when (random.nextInt(3)) {
+            0 -> observe(agent.feed(EngineEvent.CallEnded(lease, 200)))
+
+            1 -> observe(agent.feed(EngineEvent.CallFailed(lease, reached = true, cause = "reset")))
+
+            2 -> {
+                starts.merge(leases.getValue(lease), -1, Int::plus)
+                observe(agent.feed(EngineEvent.CallFailed(lease, reached = false, cause = "shut")))
+            }
+        }
+    }
+
+    private fun observe(effects: List<Effect>) {
+        for (call in effects.filterIsInstance<EngineEffect.CallService>()) {
+            running += call.lease
+            val count = starts.merge(leases.getValue(call.lease), 1, Int::plus)
+            assertEquals(1, count, "action ran more than once")
+        }
+        assertTrue(effects.none { it is EngineEffect.CancelStream }, "an action was cancelled")
+        assertTrue(agent.state.actions.finished <= 2)
+    }
+}
