Test the agent's grants, queue, warmth, actions, orders and drain

Each decision of the agent gets tests that name the failure they guard against: refusals that must be true, reserved shares, ageing, lost cancels, orphans, cold endpoints, actions that must not run twice, order numbers and a drain that ends.

--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentDrainTest.kt
@@ -0,0 +1,54 @@
+package org.gypsumroute.core
+
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EngineEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.Tokens
+import org.junit.jupiter.api.Test
+
+/** Guards against planned stops that cut off requests or never end. */
+class AgentDrainTest {
+    private val agent = AgentFixture().apply { check() }
+    private val lease = LeaseId("a")
+
+    @Test
+    fun `an idle agent exits at once`() {
+        assertTrue(agent.feed(RuntimeEvent.DrainRequested).exits())
+    }
+
+    @Test
+    fun `a drain refuses new work, finishes running work and exits when its answer is taken`() {
+        agent.run("a")
+        assertTrue(!agent.feed(RuntimeEvent.DrainRequested).exits())
+        val failure = agent.ask("b").refusal()
+        assertEquals(ErrorKind.DRAINING to notRun, failure.kind to failure.runState)
+        assertTrue(!agent.feed(EngineEvent.StreamEnded(lease, Tokens(3))).exits())
+        assertTrue(agent.release("a").exits())
+        assertTrue(!agent.feed(RuntimeEvent.DrainRequested).exits())
+    }
+
+    @Test
+    fun `an answer that nobody takes holds the exit back only until its lease ends`() {
+        agent.run("a")
+        agent.feed(RuntimeEvent.DrainRequested)
+        agent.feed(EngineEvent.StreamEnded(lease, Tokens(3)))
+        assertTrue(agent.pass(10.seconds).exits())
+    }
+
+    @Test
+    fun `an unreachable engine that cannot confirm a cancel does not hold the exit back`() {
+        agent.run("a")
+        agent.feed(RuntimeEvent.DrainRequested)
+        assertTrue(!agent.release("a").exits())
+        agent.feed(EngineEvent.Unreachable("reset"))
+        assertTrue(agent.feed(EngineEvent.Unreachable("reset")).exits())
+    }
+
+    private fun List<Effect>.exits() = RuntimeEffect.Exit(0) in this
+}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EngineOrdersTest.kt
@@ -0,0 +1,124 @@
+package org.gypsumroute.core
+
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EngineEffect
+import org.gypsumroute.api.EngineEvent
+import org.gypsumroute.api.EngineModel
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.FencingNumber
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.HostRecord
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.ModelId
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.PlatformEvent
+import org.gypsumroute.api.PoolId
+import org.gypsumroute.api.RegionId
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.Tokens
+import org.junit.jupiter.api.Test
+
+/** Guards against orders that collide, interrupt work or reload weights all at once. */
+class EngineOrdersTest {
+    private val other = EngineModel(ModelId("other"), null, "1")
+    private val wrong = engineState(loaded = other, fencing = 7)
+    private val timer = RuntimeEvent.TimerFired(TimerId.EngineOrder)
+
+    @Test
+    fun `the order follows a fresh read and is numbered above the engine's highest`() {
+        val agent = AgentFixture()
+        val delay = agent.check(wrong).filterIsInstance<RuntimeEffect.SetTimer>().last()
+        assertEquals(RuntimeEffect.SetTimer(TimerId.EngineOrder, 0.seconds), delay)
+        assertEquals(ErrorKind.NO_ENDPOINT, agent.ask("a").refusal().kind)
+        assertTrue(EngineEffect.ReadState in agent.feed(timer))
+        val order = EngineEffect.LoadModel(menuModel, FencingNumber(8))
+        assertTrue(order in agent.feed(EngineEvent.StateRead(wrong)))
+        assertTrue(agent.check(wrong).orders().isEmpty())
+        agent.check(engineState(fencing = 8))
+        assertEquals(1, agent.ask("b").sent<PeerMessage.GrantIssued>().size)
+    }
+
+    @Test
+    fun `a refused order is repeated with a higher number after the next read`() {
+        val agent = AgentFixture()
+        agent.check(wrong)
+        agent.feed(timer)
+        agent.feed(EngineEvent.StateRead(wrong))
+        val refused = agent.feed(EngineEvent.OrderAnswered(FencingNumber(8), false, "stale"))
+        val logs = refused.filterIsInstance<RuntimeEffect.Log>().map { it.event }
+        assertEquals(listOf(LogEvent.ENGINE_ORDER_REFUSED), logs)
+        assertEquals(listOf(FencingNumber(9)), agent.check(wrong).orders().map { it.fencing })
+        val ahead = engineState(loaded = other, fencing = 20)
+        agent.feed(EngineEvent.OrderAnswered(FencingNumber(9), false, "stale"))
+        assertEquals(listOf(FencingNumber(21)), agent.check(ahead).orders().map { it.fencing })
+    }
+
+    @Test
+    fun `an order waits for running work and keeps new work away`() {
+        val documents = listOf(
+            testDocument(),
+            testDocument(service = "a-first") { it.copy(model = other) }
+        )
+        val agent = AgentFixture(documents).apply { check() }
+        agent.run("a")
+        agent.feed(timer)
+        val busy = agent.check(engineState(streams = mapOf("a" to 1_500)))
+        assertTrue(busy.orders().isEmpty())
+        assertEquals(ErrorKind.NO_ENDPOINT, agent.ask("b").refusal().kind)
+        agent.feed(EngineEvent.StreamEnded(LeaseId("a"), Tokens(1)))
+        assertEquals(listOf(other), agent.check().orders().map { it.model })
+    }
+
+    @Test
+    fun `changes keep the dwell time and first orders are staggered by rank`() {
+        val agent = AgentFixture()
+        agent.feed(PlatformEvent.HostsRead((1..6).map { host("agent-$it") }))
+        val rank = poolRank(agent.state.common)
+        assertEquals(10.seconds * rank, agent.check(wrong).delay())
+        agent.feed(timer)
+        agent.check(wrong)
+        agent.check(engineState(fencing = 8))
+        agent.pass(1.minutes)
+        val delay = agent.check(wrong).delay()!!
+        assertTrue(delay > 3.minutes && delay <= 5.minutes + 10.seconds * rank, "$delay")
+    }
+
+    @Test
+    fun `the endpoints of a pool share its models evenly`() {
+        val documents = listOf(
+            testDocument(),
+            testDocument(service = "a-first") { it.copy(model = other) }
+        )
+        val common = AgentFixture(documents).apply {
+            feed(PlatformEvent.HostsRead((1..6).map { host("agent-$it") }))
+        }.state.common
+        val models = (1..6).map {
+            assignedModel(common.copy(node = testNode("agent-$it", NodeRole.AGENT)))
+        }
+        assertEquals(listOf(3, 3), models.groupBy { it }.values.map { it.size })
+    }
+
+    private fun List<Effect>.orders() = filterIsInstance<EngineEffect.LoadModel>()
+
+    private fun List<Effect>.delay() = filterIsInstance<RuntimeEffect.SetTimer>()
+        .find { it.timer == TimerId.EngineOrder }?.after
+
+    private fun host(name: String) = HostRecord(
+        HostId(name),
+        NodeRole.AGENT,
+        RegionId("bagmati"),
+        DataCentreId("thamel"),
+        "127.0.0.1",
+        1,
+        PoolId("menu")
+    )
+}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/GrantsReducerTest.kt
@@ -0,0 +1,177 @@
+package org.gypsumroute.core
+
+import arrow.core.right
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.ConnectionId
+import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.EncodedDocument
+import org.gypsumroute.api.EngineEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.HostRecord
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.PeerEvent
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.PlatformEvent
+import org.gypsumroute.api.RegionId
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.ServiceDocument
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.WorkKind
+import org.junit.jupiter.api.Test
+
+/** Guards against overload, head-of-line blocking and work granted where none should go. */
+class GrantsReducerTest {
+    private val agent = AgentFixture().apply { check() }
+
+    @Test
+    fun `nothing is granted before the engine has reported or while it does not answer`() {
+        assertEquals(ErrorKind.NO_ENDPOINT, AgentFixture().ask("a").refusal().kind)
+        agent.feed(EngineEvent.Unreachable("timeout"))
+        assertTrue(agent.ask("b").sent<PeerMessage.GrantIssued>().isNotEmpty())
+        agent.feed(EngineEvent.Unreachable("timeout"))
+        assertEquals(ErrorKind.NO_ENDPOINT, agent.ask("c").refusal().kind)
+    }
+
+    @Test
+    fun `work for a service without a document or another kind of service is refused`() {
+        val unknown = agent.ask("a") { it.copy(service = ServiceId("other")) }.refusal()
+        assertEquals(ErrorKind.SERVICE_UNKNOWN to notRun, unknown.kind to unknown.runState)
+        val call = agent.ask("b") { it.copy(kind = WorkKind.CALL) }
+        assertEquals(ErrorKind.SERVICE_KIND_MISMATCH, call.refusal().kind)
+    }
+
+    @Test
+    fun `queued work is refused when the data centre goes out and running work goes on`() {
+        fillSlots()
+        agent.ask("queued")
+        val out = document(2) { it.copy(dataCentresOut = setOf(DataCentreId("thamel"))) }
+        val failure = agent.feed(PlatformEvent.DocumentRead(null, out.right())).refusal()
+        assertEquals(ErrorKind.DATA_CENTRE_OUT to notRun, failure.kind to failure.runState)
+        assertEquals(8, agent.state.ledger.running)
+        assertEquals(ErrorKind.DATA_CENTRE_OUT, agent.ask("late").refusal().kind)
+    }
+
+    @Test
+    fun `queued work is refused when the service is withdrawn or the host leaves`() {
+        fillSlots()
+        agent.ask("queued")
+        val leaving = HostRecord(
+            HostId("agent-1"),
+            NodeRole.AGENT,
+            RegionId("bagmati"),
+            DataCentreId("thamel"),
+            "127.0.0.1",
+            1,
+            leaving = true
+        )
+        val hosts = PlatformEvent.HostsRead(listOf(leaving))
+        assertEquals(ErrorKind.DRAINING, agent.feed(hosts).refusal().kind)
+        agent.feed(PlatformEvent.HostsRead(emptyList()))
+        agent.ask("again")
+        val withdrawn = document(3) { it.copy(withdrawn = true) }
+        val effects = agent.feed(PlatformEvent.DocumentRead(null, withdrawn.right()))
+        assertEquals(ErrorKind.SERVICE_UNKNOWN, effects.refusal().kind)
+    }
+
+    @Test
+    fun `a full queue refuses with a time to retry, and a repeated request keeps its place`() {
+        val small = document(2) { it.copy(limits = it.limits.copy(queuePerEndpoint = 1)) }
+        agent.feed(PlatformEvent.DocumentRead(null, small.right()))
+        fillSlots()
+        assertEquals(1, agent.ask("queued").sent<PeerMessage.GrantQueued>().size)
+        assertEquals(1, agent.ask("queued").sent<PeerMessage.GrantQueued>().size)
+        val failure = agent.ask("over").refusal()
+        assertEquals(ErrorKind.OVERLOADED to notRun, failure.kind to failure.runState)
+        assertTrue(failure.retryAfter!! >= 1.seconds)
+    }
+
+    @Test
+    fun `queued work is granted when a stream ends`() {
+        fillSlots()
+        agent.ask("queued")
+        val effects = agent.feed(EngineEvent.StreamEnded(LeaseId("a0"), Tokens(5)))
+        val issued = effects.sent<PeerMessage.GrantIssued>().single()
+        assertEquals(LeaseId("queued"), issued.lease)
+    }
+
+    @Test
+    fun `longer classes leave the memory and slots reserved for shorter ones`() {
+        repeat(5) { index -> agent.ask("m$index") { it.sized(9_000, "medium") } }
+        val sixth = agent.ask("m5") { it.sized(9_000, "medium") }
+        assertEquals(1, sixth.sent<PeerMessage.GrantQueued>().size)
+        repeat(3) { assertEquals(1, agent.ask("s$it").sent<PeerMessage.GrantIssued>().size) }
+        val memory = AgentFixture().apply { check() }
+        memory.ask("m0") { it.sized(69_000, "medium") }
+        val second = memory.ask("m1") { it.sized(9_000, "medium") }
+        assertEquals(1, second.sent<PeerMessage.GrantQueued>().size)
+        val short = memory.ask("s") { it.sized(7_500, "short") }
+        assertEquals(1, short.sent<PeerMessage.GrantIssued>().size)
+    }
+
+    @Test
+    fun `a prompt beyond its class's memory is refused instead of queued for ever`() {
+        val failure = agent.ask("a") { it.sized(80_000, "medium") }.refusal()
+        assertEquals(ErrorKind.NO_ENDPOINT to notRun, failure.kind to failure.runState)
+    }
+
+    @Test
+    fun `work that cannot start in time is refused, at once or from the queue`() {
+        val slow = agent.ask("a") { it.sized(60_000, "medium").copy(remaining = 0.5.seconds) }
+        assertEquals(ErrorKind.DEADLINE_UNREACHABLE, slow.refusal().kind)
+        fillSlots()
+        agent.ask("queued") { it.copy(remaining = 4.seconds) }
+        agent.pass(3.9.seconds)
+        val failure = agent.pass(0.1.seconds).refusal()
+        assertEquals(ErrorKind.DEADLINE_UNREACHABLE to notRun, failure.kind to failure.runState)
+    }
+
+    @Test
+    fun `an endpoint holds the lease of one group at a time`() {
+        assertEquals(1, agent.ask("a") { it.segment() }.sent<PeerMessage.GrantIssued>().size)
+        assertEquals(1, agent.ask("b") { it.segment() }.sent<PeerMessage.GrantQueued>().size)
+        agent.release("a")
+        assertEquals(LeasePhase.GRANTED, agent.state.leases[LeaseId("b")]?.phase)
+    }
+
+    @Test
+    fun `queued work of an entry that is gone is dropped`() {
+        fillSlots()
+        agent.ask("queued") { it.copy(remaining = 5.minutes) }
+        agent.feed(
+            PeerEvent.Disconnected(
+                agent.entry,
+                ConnectionId(1),
+                "closed"
+            )
+        )
+        agent.pass(10.seconds)
+        assertTrue(agent.state.queue.isEmpty())
+    }
+
+    @Test
+    fun `a heartbeat is answered with the endpoint's load`() {
+        fillSlots()
+        agent.ask("queued")
+        val answer = agent.send(PeerMessage.Heartbeat(0, null)).sent<PeerMessage.Heartbeat>()
+        val summary = answer.single().summary!!
+        assertEquals(Tokens(88_000), summary.freeMemory)
+        assertEquals(listOf(8, 1), listOf(summary.runningStreams, summary.queued))
+        assertTrue(summary.accepting)
+        agent.feed(RuntimeEvent.DrainRequested)
+        val drained = agent.send(PeerMessage.Heartbeat(0, null)).sent<PeerMessage.Heartbeat>()
+        assertEquals(false, drained.single().summary?.accepting)
+    }
+
+    private fun fillSlots() = repeat(8) { agent.run("a$it") }
+
+    private fun document(
+        version: Long,
+        change: (ServiceDocument) -> ServiceDocument
+    ): EncodedDocument = testDocument(version, change = change)
+}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ReconciliationTest.kt
@@ -0,0 +1,167 @@
+package org.gypsumroute.core
+
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EngineEffect
+import org.gypsumroute.api.EngineEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.HandleId
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.SegmentHandle
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.Tokens
+import org.junit.jupiter.api.Test
+
+/** Guards against memory that the engine holds and the ledger does not know, and the reverse. */
+class ReconciliationTest {
+    private val agent = AgentFixture().apply { check() }
+    private val lease = LeaseId("a")
+
+    @Test
+    fun `a lost cancel is sent again until two reads in a row do not list the stream`() {
+        agent.run("a")
+        agent.release("a")
+        val held = engineState(streams = mapOf("a" to 1_500))
+        assertTrue(EngineEffect.CancelStream(lease) in agent.check(held))
+        agent.check()
+        agent.check(held)
+        agent.check()
+        assertEquals(1, agent.state.ledger.reservations.size)
+        assertTrue(EngineEffect.ForgetLease(lease) in agent.check())
+        assertEquals(Tokens.ZERO, agent.state.ledger.reserved)
+    }
+
+    @Test
+    fun `a read that was under way when the stream was cancelled does not free it`() {
+        agent.run("a")
+        agent.feed(RuntimeEvent.TimerFired(TimerId.EngineCheck))
+        agent.pass(1.seconds)
+        agent.release("a")
+        agent.feed(EngineEvent.StateRead(engineState()))
+        agent.check()
+        assertEquals(1, agent.state.ledger.reservations.size)
+    }
+
+    @Test
+    fun `a stream that failed after it reached the engine keeps its memory until it is gone`() {
+        agent.run("a")
+        val effects = agent.feed(EngineEvent.StreamFailed(lease, true, "reset"))
+        val failure = effects.failure()
+        assertEquals(ErrorKind.ENGINE_FAILED to RunState.RAN, failure.kind to failure.runState)
+        assertEquals(Tokens(1_500), agent.state.ledger.reserved)
+        agent.run("b")
+        val refused = agent.feed(EngineEvent.StreamFailed(LeaseId("b"), false, "busy")).failure()
+        assertEquals(ErrorKind.ENGINE_REFUSED to notRun, refused.kind to refused.runState)
+        assertEquals(Tokens(1_500), agent.state.ledger.reserved)
+    }
+
+    @Test
+    fun `streams and handles of an earlier agent are dropped after one lease time, repeatedly`() {
+        val report = engineState(streams = mapOf("old" to 9_000), handles = mapOf("kv" to 1_000))
+        assertTrue(orphanEffects(agent.check(report)).isEmpty())
+        assertEquals(90_000, agent.state.freeMemory())
+        assertEquals(ErrorKind.LEASE_EXPIRED, agent.renew("old").failure().kind)
+        repeat(4) { agent.check(report) }
+        val expected = listOf(
+            EngineEffect.CancelStream(LeaseId("old")),
+            EngineEffect.ReleaseHandle(HandleId("kv"))
+        )
+        repeat(2) { assertEquals(expected, orphanEffects(agent.check(report))) }
+        agent.check()
+        assertEquals(100_000, agent.state.freeMemory())
+        assertTrue(agent.state.engine.orphanStreams.isEmpty())
+    }
+
+    @Test
+    fun `an engine fuller than its streams explain gets nothing`() {
+        agent.check(engineState(used = 99_000))
+        assertEquals(1, agent.ask("a").sent<PeerMessage.GrantQueued>().size)
+        val effects = agent.check(engineState(used = 1_000))
+        assertEquals(1, effects.sent<PeerMessage.GrantIssued>().size)
+    }
+
+    @Test
+    fun `a lagging report of an ended stream takes no memory away`() {
+        agent.run("a")
+        agent.feed(EngineEvent.StreamEnded(lease, Tokens(3)))
+        agent.check(engineState(streams = mapOf("a" to 1_500)))
+        assertEquals(100_000, agent.state.freeMemory())
+    }
+
+    @Test
+    fun `a restarted engine clears the ledger, fails its streams and starts cold`() {
+        val warm = AgentFixture(policies = agentPolicies).apply { check() }
+        repeat(10) { index ->
+            warm.run("w$index")
+            warm.feed(EngineEvent.FirstToken(LeaseId("w$index"), 1.seconds / 100))
+            warm.feed(EngineEvent.StreamEnded(LeaseId("w$index"), Tokens(1)))
+            warm.release("w$index")
+        }
+        assertEquals(1.0, warm.state.warmth.share)
+        warm.run("a")
+        warm.check(engineState(streams = mapOf("a" to 1_500)))
+        repeat(3) { warm.ask("planned$it") }
+        val effects = warm.check(engineState(incarnation = "engine#2"))
+        val failures = effects.sent<PeerMessage.WorkFailed>().associate { it.lease to it.failure }
+        assertEquals(ErrorKind.ENGINE_FAILED, failures.getValue(lease).kind)
+        assertEquals(2, failures.values.count { it.runState == RunState.NOT_RUN })
+        assertEquals(0.1, warm.state.warmth.share)
+        assertEquals(1, warm.state.ledger.running)
+    }
+
+    @Test
+    fun `the cache of a segment is released with its lease and freed on the engine's word`() {
+        agent.ask("a") { it.segment() }
+        assertTrue(agent.start("a").any { it is EngineEffect.PrefillSegment })
+        val handle = SegmentHandle(HandleId("kv"), "127.0.0.1:9", Tokens(1_000))
+        val exported = agent.feed(EngineEvent.SegmentExported(lease, handle, 1.seconds))
+        assertEquals(handle, exported.sent<PeerMessage.SegmentReady>().single().handle)
+        assertEquals(Tokens(1_000) to 0, agent.state.ledger.run { reserved to running })
+        assertTrue(EngineEffect.ReleaseHandle(handle.handle) in agent.release("a"))
+        val held = engineState(handles = mapOf("kv" to 1_000))
+        assertTrue(EngineEffect.ReleaseHandle(handle.handle) in agent.check(held))
+        agent.feed(EngineEvent.HandleReleased(handle.handle))
+        assertEquals(Tokens.ZERO, agent.state.ledger.reserved)
+    }
+
+    @Test
+    fun `a segment exported after its lease was cancelled is released`() {
+        agent.ask("a") { it.segment() }
+        agent.start("a")
+        agent.release("a")
+        val handle = SegmentHandle(HandleId("kv"), "127.0.0.1:9", Tokens(1_000))
+        val effects = agent.feed(EngineEvent.SegmentExported(lease, handle, 1.seconds))
+        assertEquals(EngineEffect.ReleaseHandle(handle.handle), effects.last())
+        agent.feed(EngineEvent.CancelConfirmed(lease))
+        assertEquals(1, agent.state.ledger.reservations.size)
+    }
+
+    @Test
+    fun `a lost answer to a state read does not end the checks`() {
+        repeat(5) {
+            agent.pass(2.seconds)
+            agent.feed(RuntimeEvent.TimerFired(TimerId.EngineCheck))
+        }
+        assertTrue(agent.state.engine.failedReads >= 1)
+        assertTrue(agent.state.engine.readIssuedAt != null)
+        agent.check()
+        assertEquals(0, agent.state.engine.failedReads)
+    }
+
+    private fun orphanEffects(effects: List<Effect>): List<Effect> {
+        val logs = effects.filterIsInstance<RuntimeEffect.Log>().map { it.event }
+        val dropped = effects.filter {
+            it is EngineEffect.CancelStream || it is EngineEffect.ReleaseHandle
+        }
+        val logged = logs.count { it == LogEvent.ORPHAN_STREAM || it == LogEvent.ORPHAN_HANDLE }
+        assertEquals(dropped.size, logged)
+        return dropped
+    }
+}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/WarmthReducerTest.kt
@@ -0,0 +1,102 @@
+package org.gypsumroute.core
+
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EngineEvent
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.Tokens
+import org.junit.jupiter.api.Test
+
+/** Guards against full load on endpoints that just started or turned cold. */
+class WarmthReducerTest {
+    private val agent = AgentFixture(policies = agentPolicies).apply { check() }
+    private var served = 0
+
+    @Test
+    fun `the share grows with completions at warm speed and not with time`() {
+        agent.pass(60.seconds)
+        agent.check()
+        assertEquals(0.1, share())
+        val shares = (1..8).map {
+            serve(10.milliseconds)
+            share()
+        }
+        assertEquals(listOf(0.1, 0.2, 0.2, 0.4, 0.4, 0.8, 0.8, 1.0), shares)
+    }
+
+    @Test
+    fun `a prefill slower than the cold factor starts the ramp again`() {
+        repeat(8) { serve(10.milliseconds) }
+        assertEquals(1.0, share())
+        serve(30.milliseconds)
+        assertEquals(1.0, share())
+        val logs = serve(31.milliseconds).filterIsInstance<RuntimeEffect.Log>()
+        assertEquals(listOf(LogEvent.ENGINE_COLD), logs.map { it.event })
+        assertEquals(0.1, share())
+    }
+
+    @Test
+    fun `prompts in prefill at the same time are taken into account`() {
+        repeat(8) { serve(10.milliseconds) }
+        repeat(5) { agent.run("p$it") }
+        agent.feed(EngineEvent.FirstToken(LeaseId("p0"), 60.milliseconds))
+        assertEquals(1.0, share())
+    }
+
+    @Test
+    fun `a cold endpoint takes one stream, and a long prompt only when it runs nothing else`() {
+        assertEquals(1, agent.ask("long") { it.sized(60_000, "medium") }.granted())
+        assertEquals(0, agent.ask("short").granted())
+        agent.release("long")
+        agent.release("short")
+        repeat(4) { serve(10.milliseconds) }
+        assertEquals(0.4, share())
+        assertEquals(1, agent.ask("short").granted())
+        assertEquals(0, agent.ask("long2") { it.sized(60_000, "medium") }.granted())
+        agent.start("short")
+        agent.feed(EngineEvent.FirstToken(LeaseId("short"), 10.milliseconds))
+        val ended = agent.feed(EngineEvent.StreamEnded(LeaseId("short"), Tokens(1)))
+        assertEquals(1, ended.granted())
+    }
+
+    @Test
+    fun `grants beyond the cold share are withdrawn when the endpoint turns cold`() {
+        repeat(8) { serve(10.milliseconds) }
+        repeat(3) { agent.ask("planned$it") }
+        agent.run("slow")
+        val effects = agent.feed(EngineEvent.FirstToken(LeaseId("slow"), 10.seconds))
+        val failures = effects.sent<PeerMessage.WorkFailed>().map { it.failure }
+        assertEquals(List(3) { ErrorKind.ENGINE_REFUSED }, failures.map { it.kind })
+        assertTrue(failures.all { it.runState == notRun })
+        assertEquals(1, agent.state.ledger.running)
+    }
+
+    @Test
+    fun `the baseline offers everything at once`() {
+        val baseline = AgentFixture(policies = agentPolicies.copy(ramp = noRamp))
+        baseline.check()
+        assertEquals(8, (1..9).sumOf { baseline.ask("a$it").granted() })
+    }
+
+    private fun share() = agent.state.shareFor(testDocument().document)
+
+    private fun List<Effect>.granted() = sent<PeerMessage.GrantIssued>().size
+
+    private fun serve(elapsed: Duration): List<Effect> {
+        served += 1
+        val lease = "served$served"
+        agent.run(lease)
+        val effects = agent.feed(EngineEvent.FirstToken(LeaseId(lease), elapsed))
+        agent.feed(EngineEvent.StreamEnded(LeaseId(lease), Tokens(1)))
+        agent.release(lease)
+        return effects
+    }
+}
