--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DefaultPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DefaultPolicies.kt
@@ -1,5 +1,6 @@
 package org.gypsumroute.core
 
+/** The policies of a real process. */
 val defaultPolicies = Policies(
     placement = PlacementPolicies.expectedWait,
     queueOrder = shortestClassFirst,
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentFixture.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentFixture.kt
@@ -180,11 +180,17 @@
     actions = document.actions.copy(notRepeatable = listOf("/orders"), keptRecords = kept)
 )
 
-internal inline fun <reified T> List<Effect>.sent(): List<T> =
-    filterIsInstance<PeerEffect.Send>().map { it.message }.filterIsInstance<T>()
-
 internal fun List<Effect>.refusal() = sent<PeerMessage.GrantRefused>().single().failure
 
-internal fun List<Effect>.failure() = sent<PeerMessage.WorkFailed>().single().failure
+internal fun List<Effect>.workFailure() = sent<PeerMessage.WorkFailed>().single().failure
 
 internal val notRun = RunState.NOT_RUN
+
+/** Asks the agent for an action key. */
+internal fun AgentFixture.issueKey(): ActionKey = send(
+    PeerMessage.ActionKeyRequest(
+        RequestId("key"),
+        ServiceId("menu-writer"),
+        OrganisationId("everest-cafe")
+    )
+).sent<PeerMessage.ActionKeyIssued>().single().key
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/LeasesReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentLeasesReducerTest.kt
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test
 
 /** Guards against leases that outlive their entry and memory that is never returned. */
-class LeasesReducerTest {
+class AgentLeasesReducerTest {
     private val agent = AgentFixture().apply { check() }
     private val lease = LeaseId("a")
 
@@ -39,7 +39,7 @@
         agent.ask("a")
         agent.pass(5.seconds)
         assertEquals(Tokens.ZERO, agent.state.ledger.reserved)
-        val failure = agent.dispatch("a").failure()
+        val failure = agent.dispatch("a").workFailure()
         assertEquals(ErrorKind.LEASE_EXPIRED to RunState.UNKNOWN, failure.kind to failure.runState)
     }
 
@@ -64,7 +64,7 @@
         agent.start("a")
         val effects = agent.pass(3.seconds)
         assertTrue(EngineEffect.CancelStream(lease) in effects)
-        assertEquals(ErrorKind.DEADLINE_EXCEEDED, effects.failure().kind)
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED, effects.workFailure().kind)
         assertEquals(Tokens(1_500), agent.state.ledger.reserved)
         agent.feed(EngineEvent.CancelConfirmed(lease))
         assertEquals(Tokens.ZERO, agent.state.ledger.reserved)
@@ -84,7 +84,7 @@
     fun `a restarted entry cannot use or keep the leases of its predecessor`() {
         agent.run("a")
         assertTrue(EngineEffect.CancelStream(lease) in agent.connect("entry-1#2", 2))
-        assertEquals(ErrorKind.LEASE_EXPIRED, agent.renew("a").failure().kind)
+        assertEquals(ErrorKind.LEASE_EXPIRED, agent.renew("a").workFailure().kind)
     }
 
     @Test
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ActionsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryActionsReducerTest.kt
@@ -21,7 +21,7 @@
 import org.junit.jupiter.api.Test
 
 /** Guards against actions that run twice or that are called not run without knowledge. */
-class ActionsReducerTest {
+class EntryActionsReducerTest {
     private val document = testDocument(service = "order-desk") {
         it.copy(
             kind = ServiceKind.PLAIN,
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
@@ -58,13 +58,10 @@
     private suspend fun watchDocuments(): Boolean =
         when (val change = configuration.watch(documentsSequence)) {
             is Either.Left -> false
-
             is Either.Right -> change.value?.let { readListed(Either.Right(it)) } ?: true
         }
 
-    private suspend fun readListed(
-        listing: Either<ClientFailure, ConfigurationListing>
-    ): Boolean {
+    private suspend fun readListed(listing: Either<ClientFailure, ConfigurationListing>): Boolean {
         val listed = listing.getOrNull() ?: return false
         val changed = listed.documents.filter { knownEtags[it.name] != it.etag }
         val complete = changed.map { readDocument(it.name, it.etag) }.all { it }
