--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
@@ -16,6 +16,7 @@
 import org.gypsumroute.process.addressOf
 import org.gypsumroute.process.newIncarnation
 import org.gypsumroute.process.newSecret
+import org.gypsumroute.process.runUntilStopped
 import org.gypsumroute.runtime.LogOutput
 
 /** An agent process; several may live in one JVM for tests. */
@@ -82,9 +83,5 @@
     lateinit var signals: StopSignals
     val process = AgentProcess(settings) { signals.finished(it) }
     signals = StopSignals(settings.node.drainLimit, process::drain)
-    signals.install()
-    process.start()
-    val code = signals.await()
-    process.stop()
-    return code
+    return runUntilStopped(signals, process::start, process::stop)
 }
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/OptionTypes.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/OptionTypes.kt
@@ -40,7 +40,7 @@
 private fun isBaseUrl(text: String): Boolean = try {
     val uri = URI(text)
     uri.scheme == "http" && uri.host != null && uri.port > 0 && uri.rawPath.isNullOrEmpty()
-} catch (malformed: URISyntaxException) {
+} catch (_: URISyntaxException) {
     false
 }
 
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
@@ -15,6 +15,7 @@
 import org.gypsumroute.process.StopSignals
 import org.gypsumroute.process.TrafficHandlers
 import org.gypsumroute.process.newIncarnation
+import org.gypsumroute.process.runUntilStopped
 import org.gypsumroute.runtime.LogOutput
 
 /** An entry process; several may live in one JVM for tests. */
@@ -100,9 +101,5 @@
     lateinit var signals: StopSignals
     val process = EntryProcess(settings) { signals.finished(it) }
     signals = StopSignals(settings.node.drainLimit, process::drain)
-    signals.install()
-    process.start()
-    val code = signals.await()
-    process.stop()
-    return code
+    return runUntilStopped(signals, process::start, process::stop)
 }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntrySettings.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntrySettings.kt
@@ -1,7 +1,6 @@
 package org.gypsumroute.entry
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.Bytes
 import org.gypsumroute.process.NodeSettings
 
@@ -15,8 +14,8 @@
     val callersPort: Int,
     val operatorsAddress: String,
     val operatorsPort: Int,
-    val largestBody: Bytes = Bytes(16L * 1024 * 1024),
-    val bodyTime: Duration = 60.seconds,
-    val openRequests: Int = 4096,
-    val bufferedBytes: Bytes = Bytes(256L * 1024 * 1024)
+    val largestBody: Bytes,
+    val bodyTime: Duration,
+    val openRequests: Int,
+    val bufferedBytes: Bytes
 )
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CompletionRequest.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CompletionRequest.kt
@@ -31,7 +31,7 @@
     if (request.prompt.isEmpty()) "prompt: must not be empty".left() else request.right()
 } catch (malformed: SerializationException) {
     malformed.message.orEmpty().lineSequence().first().left()
-} catch (malformed: CharacterCodingException) {
+} catch (_: CharacterCodingException) {
     "body: not valid UTF-8".left()
 }
 
--- a/gypsumroute-entry/src/test/kotlin/org/gypsumroute/entry/http/CallersHttpTest.kt
+++ b/gypsumroute-entry/src/test/kotlin/org/gypsumroute/entry/http/CallersHttpTest.kt
@@ -46,7 +46,13 @@
     private val connection = FakeConnection(ConnectionId(1))
     private val exchanges: Exchanges = Exchanges(::control, scope) { connection }
     private val http = CallersHttp(
-        CallersHttpSettings("127.0.0.1", 0, largestBody = 1000, bodyTime = 300.milliseconds),
+        CallersHttpSettings(
+            "127.0.0.1",
+            0,
+            largestBody = 1000,
+            bodyTime = 300.milliseconds,
+            openRequests = 100
+        ),
         exchanges,
         ::control,
         { RequestId("generated") },
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
@@ -40,8 +40,12 @@
     fun execute(effect: PlatformEffect) {
         scope.launch {
             when (effect) {
-                is PlatformEffect.ReadDocuments -> finishRead(readListed(configuration.list()))
+                is PlatformEffect.ReadDocuments -> finishRead(
+                    readListed(configuration.list().getOrNull())
+                )
+
                 is PlatformEffect.WatchDocuments -> finishRead(watchDocuments())
+
                 is PlatformEffect.ReadHosts -> readHosts()
             }
         }
@@ -58,14 +62,11 @@
     private suspend fun watchDocuments(): Boolean =
         when (val change = configuration.watch(documentsSequence)) {
             is Either.Left -> false
-
-            is Either.Right -> change.value?.let { readListed(Either.Right(it)) } ?: true
+            is Either.Right -> change.value?.let { readListed(it) } ?: true
         }
 
-    private suspend fun readListed(
-        listing: Either<ClientFailure, ConfigurationListing>
-    ): Boolean {
-        val listed = listing.getOrNull() ?: return false
+    private suspend fun readListed(listed: ConfigurationListing?): Boolean {
+        if (listed == null) return false
         val changed = listed.documents.filter { knownEtags[it.name] != it.etag }
         val complete = changed.map { readDocument(it.name, it.etag) }.all { it }
         if (complete) documentsSequence = listed.sequence
