--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryActionsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryActionsReducerTest.kt
@@ -33,7 +33,7 @@
     private fun entry(connected: Boolean = true) =
         EntryHarness(listOf(document), connected = connected)
 
-    private fun EntryHarness.print(key: String? = this@ActionsReducerTest.key) =
+    private fun EntryHarness.print(key: String? = this@EntryActionsReducerTest.key) =
         call("r", "/print", key)
 
     @Test
