--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/DocumentYamlCodec.kt
+++ b/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/DocumentYamlCodec.kt
@@ -69,7 +69,12 @@
     private fun parse(text: String): Either<DocumentFault, YamlNode> = try {
         Yaml.default.parseToYamlNode(text).right()
     } catch (failure: YamlException) {
-        DocumentFault(failure.line, pathText(failure), failure.message).left()
+        DocumentFault(
+            failure.line,
+            pathText(failure),
+            // The parser gives no message for some inputs, such as a nested `{{`.
+            failure.message.ifBlank { "is not valid YAML" }
+        ).left()
     } catch (_: StackOverflowError) {
         // The parser recurses for each level; a hostile document can nest half a million.
         DocumentFault(0, "", "is nested too deeply").left()
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/HttpCalls.kt
+++ b/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/HttpCalls.kt
@@ -8,6 +8,7 @@
 import arrow.core.left
 import arrow.core.right
 import java.io.IOException
+import java.net.Proxy
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.resume
 import kotlin.time.Duration
@@ -46,6 +47,7 @@
         .followRedirects(false)
         .followSslRedirects(false)
         .fastFallback(false)
+        .proxy(Proxy.NO_PROXY)
         .protocols(listOf(Protocol.HTTP_1_1))
         .connectTimeout(timeouts.connect.toJavaDuration())
         .readTimeout(timeouts.read.toJavaDuration())
--- a/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/EngineStandIn.kt
+++ b/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/EngineStandIn.kt
@@ -50,6 +50,11 @@
     /** The simulated engine's present state, without report lag. */
     val state: EngineSimulation get() = control.state
 
+    /** Sets test switches, as the control `/test/faults` does. */
+    suspend fun setFaults(faults: EngineFaults) {
+        control.ask { ask, at -> EngineSimulationEvent.SetFaults(at, ask, faults) }
+    }
+
     override fun close() {
         server.close()
         control.close()
