--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/EngineStream.kt
+++ b/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/EngineStream.kt
@@ -2,6 +2,9 @@
 
 /** A call that delivers a stream's events. */
 fun interface EngineStream {
-    /** Stops reading. The engine goes on: cancelling its work is an order of its own. */
+    /**
+     * Stops reading; the last event is then a failure. The engine goes on: cancelling its work is
+     * a call of its own.
+     */
     fun stopReading()
 }
--- a/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/StandInMain.kt
+++ b/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/StandInMain.kt
@@ -4,6 +4,7 @@
 package org.gypsumroute.test
 
 import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
@@ -15,6 +16,7 @@
 import com.github.ajalt.clikt.parameters.types.file
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
+import java.net.BindException
 import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -25,6 +27,7 @@
         // Dozens of stand-ins share a machine; by default each would start up to 64 threads.
         System.setProperty("kotlinx.coroutines.io.parallelism", "4")
         System.setProperty("kotlinx.coroutines.scheduler.core.pool.size", "2")
+        logWarningsToStandardError()
         StandInCommand()
             .subcommands(
                 EngineCommand(),
@@ -40,8 +43,13 @@
     override fun run() = Unit
 }
 
-/** Keeps the process until SIGTERM, which ends it. */
-private fun CliktCommand.serve(address: String) {
+/** Starts a stand-in, prints its address and keeps the process until SIGTERM, which ends it. */
+private fun CliktCommand.serve(start: () -> String) {
+    val address = try {
+        start()
+    } catch (failure: BindException) {
+        throw CliktError("cannot listen: ${failure.message}", failure)
+    }
     echo("listening on $address")
     CountDownLatch(1).await()
 }
@@ -85,7 +93,7 @@
             cacheEventLossEvery = cacheLoss,
             fencing = !ignoreFencing
         )
-        serve(EngineStandIn(settings, port) { Runtime.getRuntime().halt(KILLED) }.address)
+        serve { EngineStandIn(settings, port) { Runtime.getRuntime().halt(KILLED) }.address }
     }
 
     private companion object {
@@ -97,7 +105,7 @@
     private val port by option("--port").int().default(0)
     private val callTime by option("--call-ms").long().default(5)
 
-    override fun run() = serve(PlainServiceStandIn(port, callTime.milliseconds).address)
+    override fun run() = serve { PlainServiceStandIn(port, callTime.milliseconds).address }
 }
 
 private class ConfigurationCommand : CliktCommand(name = "configuration") {
@@ -109,7 +117,7 @@
 
     override fun run() {
         val contents = documents.associate { it.nameWithoutExtension to it.readBytes() }
-        serve(ConfigurationStandIn(contents, port, calls).address)
+        serve { ConfigurationStandIn(contents, port, calls).address }
     }
 }
 
@@ -123,6 +131,6 @@
         val listed = hosts?.readText()?.let {
             HostListStandIn.parseHosts(it) ?: throw UsageError("--hosts: not a list of hosts")
         }
-        serve(HostListStandIn(listed.orEmpty(), port, lag.milliseconds).address)
+        serve { HostListStandIn(listed.orEmpty(), port, lag.milliseconds).address }
     }
 }
--- a/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/StandInServer.kt
+++ b/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/StandInServer.kt
@@ -6,9 +6,14 @@
 import io.ktor.server.application.Application
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.embeddedServer
+import java.net.InetAddress
+import java.net.ServerSocket
 import kotlinx.coroutines.runBlocking
 
-/** A running HTTP server on 127.0.0.1; port 0 lets the system choose one. */
+/**
+ * A running HTTP server on 127.0.0.1; port 0 lets the system choose one. Throws
+ * `BindException` if the port is in use.
+ */
 class StandInServer(port: Int, module: Application.() -> Unit) : AutoCloseable {
     private val server = embeddedServer(CIO, port = port, host = LOOPBACK, module = module)
 
@@ -19,6 +24,8 @@
     val address: String get() = "$LOOPBACK:$port"
 
     init {
+        // The server reports a port in use only as a cancellation, so the port is tried before.
+        ServerSocket(port, 1, InetAddress.getByName(LOOPBACK)).close()
         server.start(wait = false)
         this.port = runBlocking { server.engine.resolvedConnectors().first().port }
     }
