--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/ControlThread.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/ControlThread.kt
@@ -96,7 +96,7 @@
         val step = try {
             reducer(state, event)
         } catch (exception: Exception) {
-            return logFailure("event", event, exception)
+            return logFailure("input", event, exception)
         }
         state = step.state
         for (effect in step.effects) {
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/EventLogger.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/EventLogger.kt
@@ -16,7 +16,7 @@
             payload = buildMap {
                 put(NUMBER_FIELD, event.number)
                 put(EVENT_FIELD, event.name.lowercase())
-                fields.forEach { put(it.name, it.value) }
+                fields.forEach { putIfAbsent(it.name, it.value) }
             }
         }
     }
--- /dev/null
+++ b/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/ControlThreadTest.kt
@@ -0,0 +1,173 @@
+/*
+ * The control loop and its timers, in virtual time with a reducer that follows a script.
+ */
+package org.gypsumroute.runtime
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.Event
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.PlatformEffect
+import org.gypsumroute.api.RegionId
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.NodeIdentity
+import org.gypsumroute.core.Policies
+import org.gypsumroute.core.Timings
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class ControlThreadTest {
+    private val seen = ArrayList<Event>()
+    private val ready = ArrayList<Boolean>()
+    private var script: (Event) -> List<Effect> = { emptyList() }
+    private val timer = TimerId.Heartbeat
+    private val fired = RuntimeEvent.TimerFired(timer)
+
+    private fun TestScope.control(): ControlThread {
+        var entropy = 0L
+        return ControlThread(
+            initial = initialState,
+            handlers = EffectHandlers({ error("broken handler") }, {}, {}, {}, { ready += it }, {}),
+            timeSource = testTimeSource,
+            entropy = { ++entropy },
+            timerScope = backgroundScope,
+            metrics = NodeMetrics(),
+            logger = EventLogger(KotlinLogging.logger("gypsumroute.test"))
+        ) { state, event ->
+            seen += event
+            Step(state, script(event))
+        }
+    }
+
+    private fun firings(): List<Long> = seen.zipWithNext().filter { it.second == fired }
+        .map { (it.first as RuntimeEvent.ClockRead).at.milliseconds }
+
+    @Test
+    fun `a clock reading with fresh entropy comes before each event`() = runTest {
+        val control = control()
+        advanceTimeBy(40.milliseconds)
+        control.process(RuntimeEvent.Started)
+        advanceTimeBy(2.milliseconds)
+        control.process(RuntimeEvent.DrainRequested)
+        val expected = listOf<Event>(
+            RuntimeEvent.ClockRead(Moment(40), 1),
+            RuntimeEvent.Started,
+            RuntimeEvent.ClockRead(Moment(42), 2),
+            RuntimeEvent.DrainRequested
+        )
+        assertEquals(expected, seen)
+    }
+
+    @Test
+    fun `a timer fires once at its time and a replaced one only at the later time`() = runTest {
+        val control = control()
+        script = { setOnStart(it, after = 100) }
+        control.process(RuntimeEvent.Started)
+        advanceTimeBy(60.milliseconds)
+        control.process(RuntimeEvent.Started)
+        advanceTimeBy(99.milliseconds)
+        control.processWaiting()
+        assertEquals(emptyList<Long>(), firings())
+        advanceTimeBy(2.milliseconds)
+        control.processWaiting()
+        advanceTimeBy(1.seconds)
+        control.processWaiting()
+        assertEquals(listOf(161L), firings())
+    }
+
+    @Test
+    fun `a cancelled timer does not fire`() = runTest {
+        val control = control()
+        script = {
+            val cancel = RuntimeEffect.CancelTimer(timer)
+            if (it == RuntimeEvent.DrainRequested) listOf(cancel) else setOnStart(it, after = 100)
+        }
+        control.process(RuntimeEvent.Started)
+        control.process(RuntimeEvent.DrainRequested)
+        advanceTimeBy(1.seconds)
+        control.processWaiting()
+        assertEquals(emptyList<Long>(), firings())
+    }
+
+    @Test
+    fun `a timer that is processed late is told the late time`() = runTest {
+        val control = control()
+        script = { setOnStart(it, after = 100) }
+        control.process(RuntimeEvent.Started)
+        advanceTimeBy(30.seconds)
+        control.processWaiting()
+        assertEquals(listOf(30_000L), firings())
+    }
+
+    @Test
+    fun `a failing reducer keeps the state and a failing handler keeps the other effects`() =
+        runTest {
+            val control = control()
+            script = { if (it == RuntimeEvent.Started) error("broken reducer") else emptyList() }
+            control.process(RuntimeEvent.Started)
+            assertTrue(control.state === initialState)
+            script = {
+                if (it == RuntimeEvent.DrainRequested) {
+                    listOf(PlatformEffect.ReadHosts, RuntimeEffect.SetReady(false))
+                } else {
+                    emptyList()
+                }
+            }
+            control.process(RuntimeEvent.DrainRequested)
+            assertEquals(listOf(false), ready)
+        }
+
+    @Test
+    fun `a started thread processes all accepted events before it stops`() = runTest {
+        val control = control()
+        control.start()
+        repeat(1000) { control.offer(RuntimeEvent.DrainRequested) }
+        control.stop()
+        control.offer(RuntimeEvent.DrainRequested)
+        assertEquals(RuntimeEvent.Started, seen[1])
+        assertEquals(2 * 1001, seen.size)
+    }
+
+    private fun setOnStart(event: Event, after: Int): List<Effect> =
+        if (event == RuntimeEvent.Started) {
+            listOf(RuntimeEffect.SetTimer(timer, after.milliseconds))
+        } else {
+            emptyList()
+        }
+
+    private companion object {
+        val initialState = EntryState(
+            CommonState(
+                node = NodeIdentity(
+                    HostId("entry-1"),
+                    IncarnationId("entry-1#1"),
+                    NodeRole.ENTRY,
+                    RegionId("bagmati"),
+                    DataCentreId("thamel")
+                ),
+                timings = Timings(),
+                policies = Policies({
+                    emptyList()
+                }, { null }, { 1.0 }, { null }, { _, _ -> 1.seconds })
+            )
+        )
+    }
+}
