End a closing connection whose peer stopped reading

In 2 of 3 repeated runs the test of a stopped peer timed out after 10 s: the writer stayed suspended in the socket's channel after the close. The connection now cancels both channels and the writer once the flush time is over.

--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/FrameChannel.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/FrameChannel.kt
@@ -11,6 +11,7 @@
 import io.ktor.utils.io.readFully
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeFully
+import java.io.IOException
 import kotlinx.coroutines.cancel
 
 /** The byte channels of a [socket]; one coroutine may read and one may write. */
@@ -39,6 +40,9 @@
 
     /** Frees the socket at once, even if the peer stopped reading. */
     fun abort() {
+        val cause = IOException("connection closed")
+        output.cancel(cause)
+        input.cancel(cause)
         socket.socketContext.cancel()
         socket.close()
     }
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/SocketPeerConnection.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/SocketPeerConnection.kt
@@ -17,10 +17,10 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.EOFException
 import org.gypsumroute.api.ConnectionId
 import org.gypsumroute.api.PeerMessage
@@ -79,18 +79,16 @@
 
     private suspend fun serve() = coroutineScope {
         val reader = launch { readUntilClosed() }
-        val abort = launch {
-            closing.join()
-            delay(settings.flushTime)
-            channel.abort()
-        }
-        try {
+        val writer = launch {
             write()
             channel.finish()
-        } finally {
-            reader.cancel()
-            abort.cancel()
         }
+        closing.join()
+        withTimeoutOrNull(settings.flushTime) { writer.join() }
+        // The writer of a peer that stopped reading is suspended in the channel.
+        channel.abort()
+        writer.cancel()
+        reader.cancel()
     }
 
     /** Whatever ends reading also closes the connection, so that the writer ends too. */
