Guard against waiting streams that hold up other calls

OkHttp opens five calls to a host at once unless its limits are raised; the new test keeps 40 streams waiting while another completes. Only tests of a timeout use a short one now (800 ms), since the 300 ms limit on every call could fail a correct call on a busy machine; what the tests assert is unchanged.

--- a/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/EngineClientTest.kt
+++ b/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/EngineClientTest.kt
@@ -1,5 +1,6 @@
 package org.gypsumroute.platform
 
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -28,7 +29,7 @@
     )
     private val engine = EngineStandIn(settings)
     private val other = EngineStandIn(settings)
-    private val timeouts = HttpTimeouts(read = 300.milliseconds, whole = 300.milliseconds)
+    private val timeouts = HttpTimeouts()
     private val client = EngineClient(engine.address, timeouts)
     private val lease = LeaseId("entry-1/7/1")
 
@@ -55,13 +56,35 @@
         assertEquals((1..39).joinToString("") { "t$it " }, textOf(rest))
     }
 
+    /** OkHttp by itself opens only five calls to a host at once and queues the others. */
+    @Test
+    fun `many waiting streams do not hold up another call`() = runBlocking {
+        val roomy = EngineStandIn(settings.copy(memoryTokens = 100_000_000))
+        val client = EngineClient(roomy.address, timeouts)
+        val count = 40
+        val started = CountDownLatch(count)
+        val waiting = (1..count).map {
+            val endless = request(LeaseId("w$it"), "x", output = 1_000_000)
+            client.open(endless) { event ->
+                if (event is EngineStreamEvent.Chunk && event.number == 0) started.countDown()
+            }
+        }
+        assertTrue(started.await(10, TimeUnit.SECONDS))
+        assertEquals("t0 ", textOf(collect { client.open(request(lease, "x", output = 1), it) }))
+        waiting.forEach { it.stopReading() }
+        client.close()
+        roomy.close()
+    }
+
     @Test
     fun `confirmed cancel leaves nothing and a lost one is not confirmed`() = runBlocking {
         val queue = LinkedBlockingQueue<EngineStreamEvent>()
         client.open(request(lease, "x", output = 100_000)) { queue += it }
         queue.poll(5, TimeUnit.SECONDS)
         engine.setFaults(EngineFaults(lostCancels = 1))
-        assertIs<ClientFailure.Broken>(client.cancel(lease).leftOrNull())
+        val impatient = EngineClient(engine.address, HttpTimeouts(whole = 800.milliseconds))
+        assertIs<ClientFailure.Broken>(impatient.cancel(lease).leftOrNull())
+        impatient.close()
         assertTrue(lease.value in engine.state.streams)
         assertTrue(client.cancel(lease).isRight())
         assertEquals(0, engine.state.usedTokens)
--- a/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/HttpCallsTest.kt
+++ b/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/HttpCallsTest.kt
@@ -19,7 +19,7 @@
 /** Guards against repeated calls and against work that ran being reported as not reached. */
 class HttpCallsTest {
     private val server = MockWebServer()
-    private val timeouts = HttpTimeouts(read = 200.milliseconds, whole = null)
+    private val timeouts = HttpTimeouts(whole = null)
     private val address get() = "127.0.0.1:${server.port}"
 
     @BeforeTest
@@ -103,7 +103,8 @@
             MockResponse.Builder().body("x".repeat(1000))
                 .onResponseBody(SocketEffect.Stall).build()
         )
-        assertIs<ClientFailure.Broken>(callAt(address).leftOrNull())
+        val impatient = HttpTimeouts(read = 200.milliseconds)
+        assertIs<ClientFailure.Broken>(callAt(address, impatient).leftOrNull())
         assertEquals(1, server.requestCount)
     }
 
@@ -120,8 +121,11 @@
         hosts.close()
     }
 
-    private fun callAt(address: String): Either<ClientFailure, PlainServiceAnswer> {
-        val client = PlainServiceClient(address, timeouts)
+    private fun callAt(
+        address: String,
+        limits: HttpTimeouts = timeouts
+    ): Either<ClientFailure, PlainServiceAnswer> {
+        val client = PlainServiceClient(address, limits)
         return runBlocking { client.call("/print-orders", listOf("order".toByteArray())) }
             .also { client.close() }
     }
--- a/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/ListClientsTest.kt
+++ b/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/ListClientsTest.kt
@@ -26,7 +26,8 @@
 /** Guards against missed changes, against an outage taken for an empty list, and double runs. */
 class ListClientsTest {
     private val opened = mutableListOf<AutoCloseable>()
-    private val timeouts = HttpTimeouts(read = 300.milliseconds, whole = 300.milliseconds)
+    private val timeouts = HttpTimeouts()
+    private val impatience = HttpTimeouts(whole = 800.milliseconds)
 
     @AfterTest
     fun stop() = opened.forEach { it.close() }
@@ -59,7 +60,8 @@
         other.setMode(ServiceMode.UNAVAILABLE)
         assertEquals(503, assertIs<ClientFailure.Refused>(cut.list().leftOrNull()).status)
         other.setMode(ServiceMode.HANG)
-        assertIs<ClientFailure.Broken>(cut.list().leftOrNull())
+        val impatient = ConfigurationClient(other.address, impatience).opened()
+        assertIs<ClientFailure.Broken>(impatient.list().leftOrNull())
         assertEquals(2, other.calls)
     }
 
@@ -103,7 +105,8 @@
         val answer = client.call("/print-orders", listOf("one".toByteArray())).getOrNull()!!
         assertEquals(200, answer.status)
         service.loseAnswers(true)
-        val lost = client.call("/print-orders", listOf("two".toByteArray())).leftOrNull()
+        val impatient = PlainServiceClient(service.address, impatience).opened()
+        val lost = impatient.call("/print-orders", listOf("two".toByteArray())).leftOrNull()
         assertTrue(lost!!.reached)
         assertEquals(mapOf("one" to 1, "two" to 1), service.ledger)
     }
