Keep a plain service warm after a broken call

One reset connection took a plain endpoint back to its initial share. Only a call that the service took no connection for now counts as a restart.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EngineWork.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EngineWork.kt
@@ -188,7 +188,13 @@
         .then { free(it, id) }
         .then { Step(it, lease?.let { held -> it.workFailed(held, failure) }.orEmpty()) }
         .then { if (unknownAction) it.step(log) else it.step() }
-        .then { turnCold(it, reservation.service, "call failed") }
+        .then { current ->
+            if (event.reached) {
+                current.step()
+            } else {
+                turnCold(current, reservation.service, "the service took no connection")
+            }
+        }
 }
 
 private fun isCall(reservation: Reservation): Boolean = !reservation.onEngine &&
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentFixture.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentFixture.kt
@@ -17,10 +17,12 @@
 import org.gypsumroute.api.EngineModel
 import org.gypsumroute.api.EngineState
 import org.gypsumroute.api.Event
+import org.gypsumroute.api.Failure
 import org.gypsumroute.api.FencingNumber
 import org.gypsumroute.api.GroupShare
 import org.gypsumroute.api.HandleId
 import org.gypsumroute.api.HostId
+import org.gypsumroute.api.HostRecord
 import org.gypsumroute.api.IncarnationId
 import org.gypsumroute.api.LeaseId
 import org.gypsumroute.api.LengthClassName
@@ -189,6 +191,23 @@
 
 internal val notRun = RunState.NOT_RUN
 
+internal val Failure.outcome get() = kind to runState
+
+/** An agent of the fixture's pool and data centre in the host list. */
+internal fun agentHost(name: String, leaving: Boolean = false): HostRecord {
+    val node = testNode(name, NodeRole.AGENT)
+    return HostRecord(
+        node.host,
+        node.role,
+        node.region,
+        node.dataCentre,
+        "127.0.0.1",
+        1,
+        node.pool,
+        leaving
+    )
+}
+
 /** Asks the agent for an action key. */
 internal fun AgentFixture.issueKey(): ActionKey = send(
     PeerMessage.ActionKeyRequest(
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/WarmthReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/WarmthReducerTest.kt
@@ -13,6 +13,7 @@
 import org.gypsumroute.api.PeerMessage
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.WorkKind
 import org.junit.jupiter.api.Test
 
 /** Guards against full load on endpoints that just started or turned cold. */
@@ -79,6 +80,23 @@
         assertEquals(1, agent.state.ledger.running)
     }
 
+    @Test
+    fun `a plain service that took no connection starts the ramp again`() {
+        val plain = AgentFixture(listOf(testDocument { plain(it) }), agentPolicies)
+        val call = { lease: String ->
+            plain.ask(lease) { it.copy(kind = WorkKind.CALL, path = "/status") }
+            plain.start(lease)
+        }
+        repeat(8) {
+            call("c$it")
+            plain.feed(EngineEvent.CallEnded(LeaseId("c$it"), 200))
+        }
+        assertEquals(1.0, plain.state.warmth.share)
+        call("d")
+        plain.feed(EngineEvent.CallFailed(LeaseId("d"), reached = false, cause = "refused"))
+        assertEquals(0.1, plain.state.warmth.share)
+    }
+
     @Test
     fun `the baseline offers everything at once`() {
         val baseline = AgentFixture(policies = agentPolicies.copy(ramp = noRamp))
