--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/SimulatedProcess.kt
@@ -0,0 +1,135 @@
+package org.gypsumroute.core.fuzz
+
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.Event
+import org.gypsumroute.api.HostRecord
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.PlatformEffect
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.NodeIdentity
+import org.gypsumroute.core.NodeState
+import org.gypsumroute.core.reduce
+
+/** One process: its state, its mailbox and its timers. It can be paused, killed and restarted. */
+internal abstract class SimulatedProcess(val fleet: Fleet, val record: HostRecord) {
+    private var starts = 0
+    private val mailbox = ArrayDeque<Event>()
+    private val timers = mutableMapOf<TimerId, Long>()
+    private var timerCount = 0L
+    private var busy = false
+    private var exited = false
+    lateinit var state: NodeState
+        private set
+    var alive = false
+        private set
+    var paused = false
+        private set
+
+    val incarnation: IncarnationId get() = IncarnationId("${record.host}-$starts")
+    val links = mutableListOf<SimulatedLink>()
+
+    val serving: Boolean get() = alive && !paused
+
+    fun start() {
+        starts++
+        alive = true
+        paused = false
+        exited = false
+        mailbox.clear()
+        timers.clear()
+        state = initialState()
+        offer(RuntimeEvent.Started)
+    }
+
+    fun kill() {
+        alive = false
+        links.toList().forEach { fleet.closeLink(it, "peer died") }
+        died()
+    }
+
+    fun pause() {
+        paused = alive
+    }
+
+    fun wake() {
+        paused = false
+        drain()
+    }
+
+    fun offer(event: Event) {
+        if (!alive) return
+        mailbox += event
+        drain()
+    }
+
+    /** Offers after the usual delay of work on another thread or host. */
+    fun offerLater(event: Event) {
+        val target = incarnation
+        fleet.schedule.after(fleet.latency()) { if (incarnation == target) offer(event) }
+    }
+
+    private fun drain() {
+        if (busy) return
+        busy = true
+        while (serving && mailbox.isNotEmpty()) {
+            step(RuntimeEvent.ClockRead(fleet.schedule.now, fleet.entropy()))
+            step(mailbox.removeFirst())
+        }
+        busy = false
+    }
+
+    private fun step(event: Event) {
+        val result = reduce(state, event)
+        state = result.state
+        result.effects.forEach(::carryOut)
+        fleet.checkStep(this)
+    }
+
+    private fun carryOut(effect: Effect) {
+        when (effect) {
+            is RuntimeEffect.SetTimer -> setTimer(effect)
+            is RuntimeEffect.CancelTimer -> timers.remove(effect.timer)
+            is RuntimeEffect.Exit -> exit()
+            is RuntimeEffect -> Unit
+            is PlatformEffect -> fleet.platform.carryOut(this, effect)
+            else -> carryOutRole(effect)
+        }
+    }
+
+    private fun setTimer(effect: RuntimeEffect.SetTimer) {
+        val number = ++timerCount
+        val owner = starts
+        timers[effect.timer] = number
+        fleet.schedule.after(effect.after) {
+            if (owner == starts && timers[effect.timer] == number) {
+                timers.remove(effect.timer)
+                offer(RuntimeEvent.TimerFired(effect.timer))
+            }
+        }
+    }
+
+    private fun exit() {
+        exited = true
+        fleet.schedule.after(fleet.latency()) { if (exited) kill() }
+    }
+
+    protected fun identity() = NodeIdentity(
+        host = record.host,
+        incarnation = incarnation,
+        role = record.role,
+        region = record.region,
+        dataCentre = record.dataCentre,
+        pool = if (record.role == NodeRole.AGENT) record.pool else null
+    )
+
+    protected abstract fun initialState(): NodeState
+
+    protected abstract fun carryOutRole(effect: Effect)
+
+    protected open fun died() = Unit
+
+    abstract fun receive(link: SimulatedLink, frame: SimulatedFrame)
+}
