--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/FleetActions.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/FleetActions.kt
@@ -57,9 +57,7 @@
     1 to action("configuration service fails", 4) { fleet, pick ->
         when (pick % 3) {
             0 -> fleet.platform.goDown()
-
             1 -> fleet.platform.stale = true
-
             else -> fleet.platform.recover()
         }
     }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/SimulatedProcess.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/SimulatedProcess.kt
@@ -1,11 +1,15 @@
 package org.gypsumroute.core.fuzz
 
+import arrow.core.right
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.Event
 import org.gypsumroute.api.HostRecord
 import org.gypsumroute.api.IncarnationId
 import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.PeerEvent
+import org.gypsumroute.api.PeerMessage
 import org.gypsumroute.api.PlatformEffect
+import org.gypsumroute.api.PlatformEvent
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.TimerId
@@ -17,6 +21,7 @@
 internal abstract class SimulatedProcess(val fleet: Fleet, val record: HostRecord) {
     private var starts = 0
     private val mailbox = ArrayDeque<Event>()
+    private val unread = ArrayDeque<() -> Unit>()
     private val timers = mutableMapOf<TimerId, Long>()
     private var timerCount = 0L
     private var busy = false
@@ -39,6 +44,7 @@
         paused = false
         exited = false
         mailbox.clear()
+        unread.clear()
         timers.clear()
         state = initialState()
         offer(RuntimeEvent.Started)
@@ -57,6 +63,16 @@
     fun wake() {
         paused = false
         drain()
+        while (serving && unread.isNotEmpty()) unread.removeFirst()()
+    }
+
+    /** Does the work of a traffic thread; a paused process does it when it wakes. */
+    fun deliver(work: () -> Unit) {
+        when {
+            !alive -> Unit
+            paused -> unread += work
+            else -> work()
+        }
     }
 
     fun offer(event: Event) {
@@ -71,6 +87,17 @@
         fleet.schedule.after(fleet.latency()) { if (incarnation == target) offer(event) }
     }
 
+    /** Hands a control message to the reducer; documents are decoded on the way. */
+    protected fun control(from: SimulatedProcess, link: SimulatedLink, message: PeerMessage) {
+        val host = from.record.host
+        if (message is PeerMessage.DocumentOffer) {
+            val document = fleet.platform.decode(message.content)
+            offer(PlatformEvent.DocumentRead(host, document.right()))
+        } else {
+            offer(PeerEvent.Received(host, link.id, message))
+        }
+    }
+
     private fun drain() {
         if (busy) return
         busy = true
