--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentActionsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentActionsReducerTest.kt
@@ -51,21 +51,18 @@
             agent.pass(9.seconds)
             agent.renew("a")
         }
-        val failure = agent.pass(3.seconds).workFailure()
-        assertEquals(
-            ErrorKind.DEADLINE_EXCEEDED to RunState.UNKNOWN,
-            failure.kind to failure.runState
-        )
+        val failure = agent.pass(3.seconds).failure()
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED to RunState.UNKNOWN, failure.outcome)
     }
 
     @Test
     fun `a call that broke has an unknown outcome, one that was not written may run again`() {
         start("a")
         val unwritten = agent.feed(EngineEvent.CallFailed(LeaseId("a"), false, "refused"))
-        assertEquals(notRun, unwritten.workFailure().runState)
+        assertEquals(notRun, unwritten.failure().runState)
         start("b")
         val broken = agent.feed(EngineEvent.CallFailed(LeaseId("b"), true, "reset"))
-        assertEquals(RunState.UNKNOWN, broken.workFailure().runState)
+        assertEquals(RunState.UNKNOWN, broken.failure().runState)
         assertEquals(ErrorKind.ACTION_OUTCOME_UNKNOWN to RunState.UNKNOWN, ask("c").outcome())
     }
 
@@ -123,5 +120,5 @@
         return agent.start(lease)
     }
 
-    private fun List<Effect>.outcome() = refusal().run { kind to runState }
+    private fun List<Effect>.outcome() = refusal().outcome
 }
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/EntryProcess.kt
@@ -0,0 +1,124 @@
+package org.gypsumroute.core.fuzz
+
+import org.gypsumroute.api.AnswerEvent
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.CallerEffect
+import org.gypsumroute.api.CallerEvent
+import org.gypsumroute.api.ConnectionId
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.HostRecord
+import org.gypsumroute.api.LeaseId
+import org.gypsumroute.api.PeerEffect
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.NodeState
+
+/** An entry with the traffic side reduced to whole bodies and two-part answers. */
+internal class EntryProcess(fleet: Fleet, record: HostRecord) : SimulatedProcess(fleet, record) {
+    private val arrivals = mutableMapOf<RequestId, CallerEvent>()
+    private val reading = mutableMapOf<RequestId, LeaseId>()
+    private val completed = mutableSetOf<RequestId>()
+
+    override fun initialState(): NodeState =
+        EntryState(CommonState(identity(), fleet.timings, fleet.policies))
+
+    fun request(request: RequestId, arrival: CallerEvent, keyDigest: String) {
+        arrivals[request] = arrival
+        offer(CallerEvent.Opened(request, keyDigest, Bytes(BODY_BYTES)))
+    }
+
+    override fun carryOutRole(effect: Effect) {
+        when (effect) {
+            is PeerEffect.Connect -> fleet.connect(this, effect.record)
+
+            is PeerEffect.Disconnect -> withLink(effect.connection) {
+                fleet.closeLink(it, "closed")
+            }
+
+            is PeerEffect.Send -> withLink(effect.connection) {
+                fleet.toAgent(it, SimulatedFrame.Control(effect.message))
+            }
+
+            is CallerEffect -> carryOutCaller(effect)
+
+            else -> error("an entry has no effect $effect")
+        }
+    }
+
+    private fun carryOutCaller(effect: CallerEffect) {
+        when (effect) {
+            is CallerEffect.AcceptBody -> arrivals[effect.request]?.let { offerLater(it) }
+
+            is CallerEffect.Fail -> fail(effect)
+
+            is CallerEffect.AnswerActionKey -> {
+                fleet.keys += effect.key
+                fleet.oracle.answered(effect.request, fleet.schedule.now)
+                offerLater(CallerEvent.AnswerTaken(effect.request))
+            }
+
+            is CallerEffect.Upload -> withLink(effect.connection) {
+                fleet.toAgent(it, SimulatedFrame.Body(effect.lease))
+            }
+
+            is CallerEffect.ReadAnswer -> reading[effect.request] = effect.lease
+
+            is CallerEffect.ResumeAnswer -> withLink(effect.connection) {
+                fleet.toAgent(it, SimulatedFrame.Resume(effect.lease))
+            }
+
+            is CallerEffect.Forget -> {
+                reading.remove(effect.request)
+                arrivals.remove(effect.request)
+            }
+        }
+    }
+
+    // The front end keeps what it has already told the caller.
+    private fun fail(effect: CallerEffect.Fail) {
+        if (effect.request in completed) return
+        fleet.oracle.failed(effect.request, effect.failure, fleet.schedule.now)
+        reading.remove(effect.request)
+        offerLater(CallerEvent.AnswerTaken(effect.request))
+    }
+
+    override fun receive(link: SimulatedLink, frame: SimulatedFrame) {
+        when (frame) {
+            is SimulatedFrame.Control -> control(link.agent, link, frame.message)
+            is SimulatedFrame.Answer -> answer(frame)
+            else -> error("an entry receives no $frame")
+        }
+    }
+
+    private fun answer(frame: SimulatedFrame.Answer) {
+        val request = reading.entries.firstOrNull { it.value == frame.lease }?.key ?: return
+        val tokens = Tokens(frame.tokens)
+        val held = Bytes(frame.tokens * BYTES_PER_TOKEN)
+        if (!frame.whole) {
+            offer(AnswerEvent.FirstToken(request, frame.lease))
+            offer(AnswerEvent.Progress(request, frame.lease, tokens, held))
+        } else if (completed.add(request)) {
+            offer(AnswerEvent.Completed(request, frame.lease, tokens, held))
+            fleet.oracle.answered(request, fleet.schedule.now)
+            offerLater(CallerEvent.AnswerTaken(request))
+        }
+    }
+
+    override fun died() {
+        fleet.oracle.entryDied(record.host)
+        fleet.platform.forget(this)
+        arrivals.clear()
+        reading.clear()
+    }
+
+    private fun withLink(connection: ConnectionId, use: (SimulatedLink) -> Unit) {
+        links.firstOrNull { it.id == connection }?.let(use)
+    }
+
+    private companion object {
+        const val BODY_BYTES = 4_000L
+        const val BYTES_PER_TOKEN = 4L
+    }
+}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/FleetOperations.kt
@@ -0,0 +1,52 @@
+/*
+ * Documents and operators' changes of the fleet property.
+ */
+package org.gypsumroute.core.fuzz
+
+import org.gypsumroute.api.ActionRule
+import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.EncodedDocument
+import org.gypsumroute.api.PoolId
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.ServiceKind
+import org.gypsumroute.core.testDocument
+
+internal fun menuDocument(
+    version: Long,
+    out: Set<DataCentreId> = emptySet(),
+    mark: Int = 0
+): EncodedDocument = testDocument(version, MENU, contentMark = mark) {
+    it.copy(dataCentresOut = out)
+}
+
+internal fun deskDocument(version: Long): EncodedDocument = testDocument(version, DESK) {
+    it.copy(
+        kind = ServiceKind.PLAIN,
+        pool = PoolId("desk"),
+        model = null,
+        actions = ActionRule(listOf(ORDER_PATH), keptRecords = 3)
+    )
+}
+
+/** Publishes the next version of the menu document with one data centre out, or none. */
+internal fun Fleet.moveDataCentre(pick: Int) {
+    val out = if (pick % 2 == 0) setOf(DataCentreId("thamel")) else emptySet()
+    platform.publish(menuDocument(nextMenuVersion(), out))
+}
+
+/** Publishes two contents under one version number. */
+internal fun Fleet.raceDocuments(pick: Int) {
+    val version = nextMenuVersion()
+    platform.publish(menuDocument(version, mark = pick))
+    platform.publish(menuDocument(version, mark = pick + 1))
+}
+
+internal fun Fleet.toggleLeaving(pick: Int) {
+    val chosen = agents[pick % agents.size].record.host
+    platform.changeHosts(
+        platform.hosts.map { if (it.host == chosen) it.copy(leaving = !it.leaving) else it }
+    )
+}
+
+private fun Fleet.nextMenuVersion(): Long =
+    (platform.newest(ServiceId(MENU))?.document?.version?.value ?: 0) + 1
