Check that a gone caller's exchange is freed; repair the merge of the agent's tests

Cause: nothing guarded against exchanges that leak when a caller leaves, and after the merge the agent's tests read the entry's kind of failure. Change: the HTTP test waits until no exchange is open; the agent's tests use workFailure.

--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentActionsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentActionsReducerTest.kt
@@ -51,7 +51,7 @@
             agent.pass(9.seconds)
             agent.renew("a")
         }
-        val failure = agent.pass(3.seconds).failure()
+        val failure = agent.pass(3.seconds).workFailure()
         assertEquals(ErrorKind.DEADLINE_EXCEEDED to RunState.UNKNOWN, failure.outcome)
     }
 
@@ -59,10 +59,10 @@
     fun `a call that broke has an unknown outcome, one that was not written may run again`() {
         start("a")
         val unwritten = agent.feed(EngineEvent.CallFailed(LeaseId("a"), false, "refused"))
-        assertEquals(notRun, unwritten.failure().runState)
+        assertEquals(notRun, unwritten.workFailure().runState)
         start("b")
         val broken = agent.feed(EngineEvent.CallFailed(LeaseId("b"), true, "reset"))
-        assertEquals(RunState.UNKNOWN, broken.failure().runState)
+        assertEquals(RunState.UNKNOWN, broken.workFailure().runState)
         assertEquals(ErrorKind.ACTION_OUTCOME_UNKNOWN to RunState.UNKNOWN, ask("c").outcome())
     }
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentLeasesReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentLeasesReducerTest.kt
@@ -39,7 +39,7 @@
         agent.ask("a")
         agent.pass(5.seconds)
         assertEquals(Tokens.ZERO, agent.state.ledger.reserved)
-        val failure = agent.dispatch("a").failure()
+        val failure = agent.dispatch("a").workFailure()
         assertEquals(ErrorKind.LEASE_EXPIRED to RunState.UNKNOWN, failure.outcome)
     }
 
@@ -64,7 +64,7 @@
         agent.start("a")
         val effects = agent.pass(3.seconds)
         assertTrue(EngineEffect.CancelStream(lease) in effects)
-        assertEquals(ErrorKind.DEADLINE_EXCEEDED, effects.failure().kind)
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED, effects.workFailure().kind)
         assertEquals(Tokens(1_500), agent.state.ledger.reserved)
         agent.feed(EngineEvent.CancelConfirmed(lease))
         assertEquals(Tokens.ZERO, agent.state.ledger.reserved)
@@ -84,7 +84,7 @@
     fun `a restarted entry cannot use or keep the leases of its predecessor`() {
         agent.run("a")
         assertTrue(EngineEffect.CancelStream(lease) in agent.connect("entry-1#2", 2))
-        assertEquals(ErrorKind.LEASE_EXPIRED, agent.renew("a").failure().kind)
+        assertEquals(ErrorKind.LEASE_EXPIRED, agent.renew("a").workFailure().kind)
     }
 
     @Test
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ReconciliationTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ReconciliationTest.kt
@@ -53,11 +53,11 @@
     fun `a stream that failed after it reached the engine keeps its memory until it is gone`() {
         agent.run("a")
         val effects = agent.feed(EngineEvent.StreamFailed(lease, true, "reset"))
-        val failure = effects.failure()
+        val failure = effects.workFailure()
         assertEquals(ErrorKind.ENGINE_FAILED to RunState.RAN, failure.outcome)
         assertEquals(Tokens(1_500), agent.state.ledger.reserved)
         agent.run("b")
-        val refused = agent.feed(EngineEvent.StreamFailed(LeaseId("b"), false, "busy")).failure()
+        val refused = agent.feed(EngineEvent.StreamFailed(LeaseId("b"), false, "busy")).workFailure()
         assertEquals(ErrorKind.ENGINE_REFUSED to notRun, refused.outcome)
         assertEquals(Tokens(1_500), agent.state.ledger.reserved)
     }
@@ -67,7 +67,7 @@
         val report = engineState(streams = mapOf("old" to 9_000), handles = mapOf("kv" to 1_000))
         assertTrue(orphanEffects(agent.check(report)).isEmpty())
         assertEquals(90_000, agent.state.freeMemory())
-        assertEquals(ErrorKind.LEASE_EXPIRED, agent.renew("old").failure().kind)
+        assertEquals(ErrorKind.LEASE_EXPIRED, agent.renew("old").workFailure().kind)
         repeat(4) { agent.check(report) }
         val expected = listOf(
             EngineEffect.CancelStream(LeaseId("old")),
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/Fleet.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/Fleet.kt
@@ -27,7 +27,7 @@
     private val random = Random(seed)
     val schedule = Schedule()
     val oracle = RequestOracle()
-    val platform = SimulatedPlatform(this)
+    val platform = SimulatedPlatform()
     val timings = Timings()
     val keys = mutableListOf<ActionKey>()
     val links = mutableListOf<SimulatedLink>()
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/SimulatedPlatform.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/SimulatedPlatform.kt
@@ -9,7 +9,7 @@
 import org.gypsumroute.api.ServiceId
 
 /** The configuration service and the host list; the former can be down or serve old content. */
-internal class SimulatedPlatform(private val fleet: Fleet) {
+internal class SimulatedPlatform {
     private val history = mutableMapOf<ServiceId, MutableList<EncodedDocument>>()
     private val watchers = mutableListOf<SimulatedProcess>()
     private val hostReaders = mutableListOf<SimulatedProcess>()
--- a/gypsumroute-entry/src/test/kotlin/org/gypsumroute/entry/http/CallersHttpTest.kt
+++ b/gypsumroute-entry/src/test/kotlin/org/gypsumroute/entry/http/CallersHttpTest.kt
@@ -164,6 +164,7 @@
             awaitEvent { it is CallerEvent.GenerationArrived }
         }
         assertNotNull(awaitEvent { it is CallerEvent.Left })
+        assertTrue(becomesTrue { exchanges.size == 0 }, "the exchange of a gone caller leaked")
     }
 
     @Test
@@ -227,6 +228,15 @@
     private fun rejected(kind: ErrorKind): Boolean =
         awaitEvent { it is CallerEvent.Rejected && it.kind == kind } != null
 
+    // The exchange is closed on another thread, shortly after its event.
+    private fun becomesTrue(condition: () -> Boolean): Boolean {
+        repeat(500) {
+            if (condition()) return true
+            Thread.sleep(10)
+        }
+        return condition()
+    }
+
     private fun awaitEvent(wanted: (Event) -> Boolean): Event? {
         while (true) {
             val event = seen.poll(5, TimeUnit.SECONDS) ?: return null
