Add the commands check, status and burn

Cause: operators could neither check a document before publishing it nor read a fleet's state and burn rates without parsing JSON by hand. Change: the operators' port serves accepted documents at /documents/{service}; check validates files and shows the difference to a document in force; status and burn ask several entries and name those that could not be reached, with exit code 3. Help shows defaults. The status page counts queued requests.

--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
@@ -75,4 +75,6 @@
 internal const val LOOPBACK = "127.0.0.1"
 internal const val VARIABLE_PREFIX = "GYPSUMROUTE"
 internal const val VARIABLES_HELP =
-    "Each option may also be given by a variable: --host by GYPSUMROUTE_HOST, and so on."
+    "Each option may also be given by a variable: --host by GYPSUMROUTE_HOST, and so on. " +
+        "Exit codes: 0 after a planned stop; 1 if a port is in use or the drain limit passed; " +
+        "2 for faulty settings, which are reported all at once."
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/Main.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/Main.kt
@@ -3,12 +3,18 @@
 import com.github.ajalt.clikt.completion.completionOption
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.core.context
 import com.github.ajalt.clikt.core.parse
 import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.output.MordantHelpFormatter
 import com.github.ajalt.clikt.parameters.options.versionOption
 import kotlin.system.exitProcess
+import org.gypsumroute.cli.burn.BurnCommand
+import org.gypsumroute.cli.check.CheckCommand
 import org.gypsumroute.cli.load.LoadCommand
+import org.gypsumroute.cli.status.StatusCommand
 
 /** Starts the command line; settings with faults end it with exit code 2. */
 fun main(arguments: Array<String>) {
@@ -23,20 +29,45 @@
     exitProcess(code)
 }
 
-internal fun gypsumrouteCommand(): GypsumrouteCommand =
-    GypsumrouteCommand().subcommands(EntryCommand(), AgentCommand(), LoadCommand())
+internal fun gypsumrouteCommand(): GypsumrouteCommand = GypsumrouteCommand().subcommands(
+    EntryCommand(),
+    AgentCommand(),
+    CheckCommand(),
+    StatusCommand(),
+    BurnCommand(),
+    LoadCommand()
+)
 
 internal fun exitCodeOf(error: CliktError): Int =
     if (error is UsageError) EXIT_SETTINGS else error.statusCode
 
+/** Exit code of a process that could not listen, and of documents with faults. */
+internal const val EXIT_FAILED = 1
+
+/** Exit code of a report that lacks at least one node. */
+internal const val EXIT_UNREACHABLE = 3
+
 internal class GypsumrouteCommand : CliktCommand(name = "gypsumroute") {
     init {
-        versionOption(VERSION)
+        context {
+            helpFormatter = {
+                MordantHelpFormatter(it, showDefaultValues = true, showRequiredTag = true)
+            }
+        }
+        versionOption(VERSION, help = "Prints the version.")
         completionOption(help = "Prints a completion script for this shell.")
     }
 
+    override fun help(context: Context) =
+        "Routes prompts of widely differing lengths to model engines and plain services."
+
+    override fun helpEpilog(context: Context) = EXIT_CODES_HELP
+
     override fun run() = Unit
 }
 
 private const val EXIT_SETTINGS = 2
+private const val EXIT_CODES_HELP =
+    "Exit codes: 0 success or planned stop; 1 failure, drain limit passed or invalid document; " +
+        "2 faulty settings or usage, all faults reported at once; 3 a node could not be reached."
 private const val VERSION = "0.1.0"
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/OptionTypes.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/OptionTypes.kt
@@ -24,10 +24,12 @@
 
 /** A base URL of the form `http://address:port`. */
 internal fun RawOption.url(): NullableOption<String, String> = convert { text ->
-    text.trimEnd('/').takeIf(::isBaseUrl)
-        ?: fail("$text: accepted is http://address:port")
+    baseUrl(text) ?: fail("$text: accepted is http://address:port")
 }
 
+/** A base URL without a trailing slash, or null if [text] is none. */
+internal fun baseUrl(text: String): String? = text.trimEnd('/').takeIf(::isBaseUrl)
+
 internal fun RawOption.port(): NullableOption<Int, Int> = int().restrictTo(0..LARGEST_PORT)
 
 /** A positive time in seconds with an optional fraction. */
--- /dev/null
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/TextTable.kt
@@ -0,0 +1,12 @@
+package org.gypsumroute.cli
+
+/** Lines with a heading over columns that are as wide as their widest cell. */
+internal fun textTable(heading: List<String>, rows: List<List<String>>): List<String> {
+    val widths = heading.indices.map { column ->
+        (rows + listOf(heading)).maxOf { it[column].length }
+    }
+    return (listOf(heading) + rows).map { row ->
+        row.mapIndexed { column, cell -> cell.padEnd(widths[column]) }
+            .joinToString("  ").trimEnd()
+    }
+}
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/LoadCommand.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/LoadCommand.kt
@@ -3,10 +3,12 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.core.context
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.validate
 import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.double
 import com.github.ajalt.clikt.parameters.types.file
@@ -15,9 +17,11 @@
 import com.github.ajalt.clikt.parameters.types.restrictTo
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.serialization.json.Json
+import org.gypsumroute.cli.VARIABLE_PREFIX
 
 /** `gypsumroute load`: sends an open-loop mix of prompts and prints the measures by length. */
-internal class LoadCommand : CliktCommand(name = "load") {
+internal class LoadCommand(private val environment: (String) -> String? = System::getenv) :
+    CliktCommand(name = "load") {
     private val entries by option(
         "--entry",
         envvar = "GYPSUMROUTE_LOAD_ENTRIES",
@@ -26,10 +30,11 @@
     private val key by option(
         "--key-variable",
         help = "Name of the environment variable that holds the bearer key"
-    ).default("GYPSUMROUTE_LOAD_KEY")
+    ).default("GYPSUMROUTE_LOAD_KEY").validate { name ->
+        if (environment(name) == null) fail("the variable $name must hold the bearer key")
+    }
     private val profileName by option(
         "--profile",
-        envvar = "GYPSUMROUTE_LOAD_PROFILE",
         help = "Named mix of prompt lengths"
     ).choice(*LoadProfile.named.keys.toTypedArray()).default("menukala")
     private val profileFile by option(
@@ -39,13 +44,11 @@
     private val service by option("--service", help = "Service to call; wins over the profile's")
     private val rate by option(
         "--rate",
-        envvar = "GYPSUMROUTE_LOAD_RATE",
         help = "Requests per second"
-    ).double().required()
+    ).double().restrictTo(min = LOWEST_RATE).required()
     private val duration by option(
         "--duration",
-        envvar = "GYPSUMROUTE_LOAD_DURATION",
-        help = "Length of the run in seconds, at most 3600 (default: 10)"
+        help = "Length of the run in seconds, at most 3600"
     ).int().restrictTo(1..LONGEST_RUN_SECONDS).default(DEFAULT_RUN_SECONDS)
     private val timeout by option("--timeout", help = "Deadline of each request in seconds")
         .int().restrictTo(min = 1).default(DEFAULT_TIMEOUT_SECONDS)
@@ -53,18 +56,19 @@
     private val format by option("--format", help = "Form of the report")
         .choice("text", "json").default("text")
 
+    init {
+        context { autoEnvvarPrefix = "${VARIABLE_PREFIX}_LOAD" }
+    }
+
     override fun help(context: Context): String =
         "Sends prompts of mixed lengths at a fixed rate and prints the measures by prompt length."
 
     override fun run() {
-        if (rate <= 0) throw UsageError("--rate must be greater than 0 requests per second")
-        val bearer = System.getenv(key)
-            ?: throw UsageError("environment variable $key must hold the bearer key")
         val profile = chosenProfile()
         val target = CallTarget(
             entries = entries.map { it.trimEnd('/') },
             service = service ?: profile.service,
-            key = bearer,
+            key = environment(key).orEmpty(),
             timeoutSeconds = timeout
         )
         val plan = planArrivals(profile, rate, duration.seconds, seed)
@@ -106,6 +110,7 @@
     "%.0f / %.0f / %.0f".format(times.median, times.p95, times.p99)
 
 private const val COLUMNS = "%-18s %6s %6s %24s %20s %26s"
+private const val LOWEST_RATE = 0.001
 private const val LONGEST_RUN_SECONDS = 3_600
 private const val DEFAULT_RUN_SECONDS = 10
 private const val DEFAULT_TIMEOUT_SECONDS = 30
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/OperatorsHttp.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/OperatorsHttp.kt
@@ -1,18 +1,22 @@
 package org.gypsumroute.entry.http
 
 import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.get
 import io.ktor.server.routing.routing
 import kotlinx.serialization.json.JsonElement
+import org.gypsumroute.api.ServiceId
 import org.gypsumroute.core.EntryState
 import org.gypsumroute.process.NodeProcess
 
-/** The operators' port: probes, metrics, status and burn rates. */
+/** The operators' port: probes, metrics, status, documents and burn rates. */
 internal class OperatorsHttp(address: String, port: Int, private val process: NodeProcess) {
     private val server = embeddedServer(CIO, port = port, host = address) {
         routing {
@@ -24,6 +28,7 @@
                 respondElement(call, statusJson(state))
             }
             get("/burn") { respondElement(call, burnJson(process.burn.report())) }
+            get("/documents/{service}") { respondDocument(call) }
         }
     }
 
@@ -41,11 +46,24 @@
         call.respondText("not ready\n", status = HttpStatusCode.ServiceUnavailable)
     }
 
+    /** The bytes of the accepted document, exactly as they were published. */
+    private suspend fun respondDocument(call: ApplicationCall) {
+        val service = ServiceId(call.parameters["service"].orEmpty())
+        val accepted = process.state.common.documents.accepted[service]
+        if (accepted == null) {
+            call.respondText("no accepted document\n", status = HttpStatusCode.NotFound)
+        } else {
+            call.response.header(HttpHeaders.ETag, "\"${accepted.digest}\"")
+            call.respondBytes(accepted.content.bytes, documentType)
+        }
+    }
+
     private suspend fun respondElement(call: ApplicationCall, content: JsonElement) =
         call.respondText(content.toString(), ContentType.Application.Json)
 
     private companion object {
         const val STOP_MILLISECONDS = 200L
+        val documentType = ContentType.parse("application/yaml; charset=utf-8")
         val metricsType = ContentType.parse("text/plain; version=0.0.4; charset=utf-8")
     }
 }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/StatusJson.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/StatusJson.kt
@@ -16,6 +16,8 @@
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.EntryState
 import org.gypsumroute.core.PeerLink
+import org.gypsumroute.core.RequestPhase
+import org.gypsumroute.core.RequestRecord
 import org.gypsumroute.runtime.BurnRow
 
 /** What an operator needs to know about this entry. */
@@ -28,7 +30,8 @@
     put("drain", common.drain.name.lowercase())
     putDocuments(common)
     putEndpoints(common)
-    putRequests(state)
+    putRequests("requests", state) { true }
+    putRequests("queue", state) { it.phase in UNDISPATCHED }
     putSlowReaders(state)
 }
 
@@ -99,8 +102,12 @@
     put("accepting", summary.accepting)
 }
 
-private fun JsonObjectBuilder.putRequests(state: EntryState) = putJsonObject("requests") {
-    state.requests.values.groupingBy { it.terms.lengthClass }.eachCount()
+private fun JsonObjectBuilder.putRequests(
+    field: String,
+    state: EntryState,
+    counted: (RequestRecord) -> Boolean
+) = putJsonObject(field) {
+    state.requests.values.filter(counted).groupingBy { it.terms.lengthClass }.eachCount()
         .forEach { (lengthClass, count) -> put(lengthClass.value, count) }
 }
 
@@ -117,3 +124,6 @@
 }
 
 private fun seconds(duration: Duration): Double = duration.toDouble(DurationUnit.SECONDS)
+
+/** Phases of requests that no endpoint works on yet. */
+private val UNDISPATCHED = setOf(RequestPhase.WAITING, RequestPhase.ASKING)
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BurnTracker.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BurnTracker.kt
@@ -121,7 +121,7 @@
 }
 
 /** Share of bad requests relative to the share that the objective allows; 0 without requests. */
-internal fun burnRate(good: Long, bad: Long, objectiveShare: Double): Double {
+fun burnRate(good: Long, bad: Long, objectiveShare: Double): Double {
     if (bad == 0L) return 0.0
     val allowed = (1 - objectiveShare).coerceAtLeast(SMALLEST_BUDGET)
     return bad.toDouble() / (good + bad) / allowed
