--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/status/StatusPage.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/status/StatusPage.kt
@@ -27,7 +27,8 @@
     val service: String,
     val version: String,
     val digest: String,
-    val withdrawn: Boolean
+    val withdrawn: Boolean,
+    @SerialName("data_centres_out") val dataCentresOut: List<String> = emptyList()
 )
 
 /** A peer; the fields from [warmShare] on are absent until its agent has reported. */
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/status/StatusText.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/status/StatusText.kt
@@ -12,11 +12,12 @@
         "${page.host} in ${page.dataCentre} at $node: $ready, ${page.drain}, " +
             "incarnation ${page.incarnation}"
     )
-    addTable("documents", listOf("service", "version", "state", "digest"), page.documents) {
+    addTable("documents", DOCUMENT_HEADING, page.documents) {
         listOf(
             it.service,
             it.version,
             if (it.withdrawn) "withdrawn" else "active",
+            it.dataCentresOut.joinToString().ifEmpty { UNKNOWN },
             it.digest.take(SHOWN_DIGEST)
         )
     }
@@ -73,6 +74,8 @@
 
 private fun yesNo(value: Boolean): String = if (value) "yes" else "no"
 
+private val DOCUMENT_HEADING =
+    listOf("service", "version", "state", "data centres out", "digest")
 private val ENDPOINT_HEADING = listOf(
     "host", "data centre", "pool", "warm", "free/all tokens", "running", "queued", "wait s",
     "accepting", "leaving"
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/StatusJson.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/StatusJson.kt
@@ -7,6 +7,7 @@
 import kotlin.time.DurationUnit
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.add
 import kotlinx.serialization.json.addJsonObject
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -67,6 +68,9 @@
             put("version", document.document.version.toString())
             put("digest", document.digest.toString())
             put("withdrawn", document.document.withdrawn)
+            putJsonArray("data_centres_out") {
+                for (dataCentre in document.document.dataCentresOut) add(dataCentre.value)
+            }
         }
     }
 }
