Make the document page enough to write a document from

Cause: the page gave forms and bounds of the fields but not their meaning, and no example. Result: DocumentYamlCodecTest reads the examples of the page as valid.

--- a/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/DocumentYamlCodecTest.kt
+++ b/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/DocumentYamlCodecTest.kt
@@ -38,6 +38,15 @@
         }
     }
 
+    @Test
+    fun `the examples on the page are valid`() {
+        val page = Path.of("../docs/service-document.md").readText()
+        val blocks = Regex("```yaml\n(.*?)```", RegexOption.DOT_MATCHES_ALL).findAll(page)
+            .map { DocumentYamlCodec.read(it.groupValues[1].toByteArray()) }.toList()
+        assertEquals(2, blocks.size)
+        for (reading in blocks) assertTrue(reading.isRight(), "$reading")
+    }
+
     @Test
     fun `digest is that of the bytes and defaults are filled in`() {
         val read = DocumentYamlCodec.read(text.toByteArray()).getOrNull()!!
