End a continued answer at the caller's output limit

Cause: the entry's reducer knows the tokens delivered at the last mark, one in 32 chunks. After the loss of an agent it asked the next endpoint for the limit minus that count, while the endpoint continues from the exact text, so the caller got up to 31 tokens more than max_tokens.

Change: ReadAnswer carries the output limit and the answer buffer ends a continued answer there, also if only the end mark was lost.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/CallerEffect.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/CallerEffect.kt
@@ -22,8 +22,15 @@
         val segment: GroupShare?
     ) : CallerEffect
 
-    /** Takes the answer of [lease] as the answer of [request]; earlier leases are ignored. */
-    data class ReadAnswer(val request: RequestId, val lease: LeaseId) : CallerEffect
+    /**
+     * Takes the answer of [lease] as the answer of [request]; earlier leases are ignored. An
+     * answer that continues on another endpoint ends at [outputLimit], which counts all of it.
+     */
+    data class ReadAnswer(
+        val request: RequestId,
+        val lease: LeaseId,
+        val outputLimit: Tokens? = null
+    ) : CallerEffect
 
     /** Asks for the answer's missing chunks again on a fresh connection. */
     data class ResumeAnswer(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryLeasesReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryLeasesReducer.kt
@@ -58,7 +58,8 @@
         dataCentre = state.common.hosts[lease.host]?.dataCentre
     )
     val next = state.withLease(started).withRequest(running)
-    val read = CallerEffect.ReadAnswer(record.id, lease.lease)
+    val limit = record.terms.outputLimit.takeIf { lease.kind == WorkKind.GENERATION }
+    val read = CallerEffect.ReadAnswer(record.id, lease.lease, limit)
         .takeIf { lease.kind != WorkKind.SEGMENT }
     val cancel = RuntimeEffect.CancelTimer(TimerId.Attempt(record.id))
     return Step(next, listOf(cancel) + transfer(next, running, started) + listOfNotNull(read))
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/GroupsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/GroupsReducerTest.kt
@@ -9,6 +9,7 @@
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
 import org.junit.jupiter.api.Test
 
@@ -44,7 +45,8 @@
         assertTrue(entry.segmentReady(leases[0]).sent<PeerMessage.Dispatch>().isEmpty())
         val last = entry.segmentReady(leases[1])
         assertEquals(2, last.sent<PeerMessage.Dispatch>().single().imports.size)
-        assertTrue(CallerEffect.ReadAnswer(RequestId("r"), leases[2].lease) in last)
+        val read = CallerEffect.ReadAnswer(RequestId("r"), leases[2].lease, Tokens(100))
+        assertTrue(read in last)
         val released = entry.complete(entry.leases("r")[2]).sent<PeerMessage.LeaseRelease>()
         assertEquals(leases.map { it.lease }.toSet(), released.map { it.lease }.toSet())
     }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/AnswerBuffer.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/AnswerBuffer.kt
@@ -29,6 +29,7 @@
     private var leaseStart = 0
     private var next = 0
     private var end: DataFrame.AnswerEnd? = null
+    private var limit: Tokens? = null
     private var tokens = 0L
     private var leaseTokens = 0L
     private var taken = 0
@@ -48,13 +49,28 @@
         early.clear()
     }
 
+    /**
+     * Ends an answer that continues on another endpoint after [outputLimit] tokens in all. The
+     * endpoint may generate more, since it was told the count at the last mark before the move.
+     */
+    @Synchronized
+    fun limitTo(outputLimit: Tokens) {
+        val before = isComplete()
+        limit = outputLimit
+        if (endAtLimit() && !before && failure == null) {
+            reportCompletion()
+            arrival.trySend(Unit)
+        }
+    }
+
     /** Adds a chunk. Returns the next sequence number wanted if it should be acknowledged. */
     @Synchronized
     fun accept(chunk: DataFrame.AnswerChunk): Int? {
-        val wanted = chunk.lease == lease && failure == null && chunk.sequence >= next
+        val wanted = chunk.lease == lease && failure == null && chunk.sequence >= next &&
+            !isComplete()
         if (!wanted || early.putIfAbsent(chunk.sequence, chunk) != null) return null
         val before = next
-        while (true) append(early.remove(next) ?: break)
+        while (!endAtLimit()) append(early.remove(next) ?: break)
         if (next == before) return null
         if (before == 0) events(AnswerEvent.FirstToken(request, chunk.lease))
         val marked = before / CHUNKS_PER_MARK != next / CHUNKS_PER_MARK
@@ -128,6 +144,14 @@
         next++
     }
 
+    private fun endAtLimit(): Boolean {
+        val current = lease ?: return false
+        val reached = limit?.let { tokens >= it.count } ?: false
+        if (leaseStart == 0 || !reached) return false
+        if (!isComplete()) end = DataFrame.AnswerEnd(current, next, "length", STATUS_OK, TEXT_TYPE)
+        return true
+    }
+
     private fun takeText(): AnswerPortion.Text {
         val limit = minOf(text.size, taken + LARGEST_PORTION)
         val to = text.characterEnd(taken, limit)
@@ -161,6 +185,8 @@
         // Marks are rare compared to chunks, since each costs the control thread one event.
         const val CHUNKS_PER_MARK = 32
         const val BYTES_PER_STEP = 65_536
+        const val STATUS_OK = 200
+        const val TEXT_TYPE = "text/plain"
         const val LARGEST_PORTION = 65_536
     }
 }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/Exchanges.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/Exchanges.kt
@@ -60,6 +60,7 @@
 
             is CallerEffect.ReadAnswer -> byRequest[effect.request]?.let {
                 follow(it, effect.lease)
+                effect.outputLimit?.let { limit -> it.answer.limitTo(limit) }
             }
 
             is CallerEffect.ResumeAnswer -> byRequest[effect.request]?.let { resume(it, effect) }
--- a/gypsumroute-entry/src/test/kotlin/org/gypsumroute/entry/AnswerBufferTest.kt
+++ b/gypsumroute-entry/src/test/kotlin/org/gypsumroute/entry/AnswerBufferTest.kt
@@ -62,6 +62,28 @@
         assertEquals("one two", takeAll())
     }
 
+    @Test
+    fun `a continued answer ends at the limit although the second endpoint generates more`() {
+        buffer.limitTo(Tokens(10))
+        repeat(8) { buffer.accept(chunk(FIRST, it, "$it ")) }
+        buffer.follow(SECOND)
+        buffer.limitTo(Tokens(10))
+        repeat(8) { buffer.accept(chunk(SECOND, it, "${it + 8} ")) }
+        assertEquals((0 until 10).joinToString("") { "$it " }, takeAll())
+        assertEquals("length", assertIs<AnswerPortion.End>(buffer.tryTake()).mark.finishReason)
+        val completed = reported.filterIsInstance<AnswerEvent.Completed>().single()
+        assertEquals(SECOND to Tokens(2), completed.lease to completed.tokens)
+    }
+
+    @Test
+    fun `an answer whose end mark alone was lost ends when it moves`() {
+        repeat(10) { buffer.accept(chunk(FIRST, it, "$it ")) }
+        buffer.follow(SECOND)
+        buffer.limitTo(Tokens(10))
+        takeAll()
+        assertIs<AnswerPortion.End>(buffer.tryTake())
+    }
+
     @Test
     fun `acknowledgements and progress come at each thirty-second chunk`() {
         val marks = (0 until 100).mapNotNull { buffer.accept(chunk(FIRST, it, "x")) }
