--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/ReducerLoop.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/ReducerLoop.kt
@@ -48,8 +48,7 @@
         now = end
     }
 
-    private fun nextTimer(end: Moment) =
-        timers.minByOrNull { it.value }?.takeIf { it.value <= end }
+    private fun nextTimer(end: Moment) = timers.minByOrNull { it.value }?.takeIf { it.value <= end }
 
     private fun apply(event: Event) {
         val step = reduce(state, event)
