--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
@@ -7,7 +7,6 @@
 import org.gypsumroute.core.AgentState
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.NodeIdentity
-import org.gypsumroute.core.defaultPolicies
 import org.gypsumroute.platform.EngineClient
 import org.gypsumroute.platform.PlainServiceClient
 import org.gypsumroute.process.NodeProcess
@@ -32,7 +31,7 @@
     private val process: NodeProcess = NodeProcess(
         settings.node,
         AgentState(
-            common = CommonState(identity, settings.node.timings, defaultPolicies),
+            common = CommonState(identity, settings.node.timings, settings.policies),
             actionSecret = ActionSecret(newSecret())
         ),
         TrafficHandlers(
--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentSettings.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentSettings.kt
@@ -1,6 +1,8 @@
 package org.gypsumroute.agent
 
 import org.gypsumroute.api.PoolId
+import org.gypsumroute.core.Policies
+import org.gypsumroute.core.defaultPolicies
 import org.gypsumroute.process.NodeSettings
 
 /** Settings of an agent. */
@@ -9,5 +11,6 @@
     val pool: PoolId,
     val listenAddress: String,
     val listenPort: Int,
-    val backEnd: BackEnd
+    val backEnd: BackEnd,
+    val policies: Policies = defaultPolicies
 )
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/AgentCommand.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/AgentCommand.kt
@@ -12,10 +12,16 @@
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.choice
 import org.gypsumroute.agent.AgentSettings
 import org.gypsumroute.agent.BackEnd
 import org.gypsumroute.agent.runAgent
 import org.gypsumroute.api.PoolId
+import org.gypsumroute.core.defaultPolicies
+import org.gypsumroute.core.growAtWarmSpeed
+import org.gypsumroute.core.noRamp
+import org.gypsumroute.core.oneQueueForAll
+import org.gypsumroute.core.shortestClassFirst
 
 /** `gypsumroute agent`: runs beside one model engine or plain service. */
 internal class AgentCommand(
@@ -35,6 +41,16 @@
             help = "Plain service beside this agent, http://address:port; instead of an engine"
         ).url().convert { BackEnd.PlainService(it) }
     ).single().required()
+    private val queueOrder by option(
+        help = "Order of queued work; one-queue exists for measurements"
+    ).choice(
+        "shortest-class-first" to shortestClassFirst,
+        "one-queue" to oneQueueForAll
+    ).default(shortestClassFirst, defaultForHelp = "shortest-class-first")
+    private val ramp by option(
+        help = "Growth of a cold endpoint's share; none exists for measurements"
+    ).choice("warm-speed" to growAtWarmSpeed, "none" to noRamp)
+        .default(growAtWarmSpeed, defaultForHelp = "warm-speed")
     private val timings by TimingOptions()
 
     init {
@@ -53,6 +69,7 @@
         pool = PoolId(pool),
         listenAddress = listenAddress,
         listenPort = listenPort,
-        backEnd = backEnd
+        backEnd = backEnd,
+        policies = defaultPolicies.copy(queueOrder = queueOrder, ramp = ramp)
     )
 }
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
@@ -7,11 +7,14 @@
 import com.github.ajalt.clikt.parameters.groups.provideDelegate
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
 import com.github.ajalt.clikt.parameters.types.restrictTo
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.Bytes
+import org.gypsumroute.core.PlacementPolicies
+import org.gypsumroute.core.defaultPolicies
 import org.gypsumroute.entry.EntrySettings
 import org.gypsumroute.entry.runEntry
 
@@ -36,6 +39,12 @@
         .int().restrictTo(1..MOST_REQUESTS).default(DEFAULT_REQUESTS)
     private val bufferedBytes by option(help = "Budget for bodies and answers held, in bytes")
         .long().restrictTo(1024L..LARGEST_BUDGET).default(DEFAULT_BUDGET)
+    private val placement by option(
+        help = "Order of endpoints for a request; least-outstanding exists for measurements"
+    ).choice(
+        "expected-wait" to PlacementPolicies.expectedWait,
+        "least-outstanding" to PlacementPolicies.leastOutstanding
+    ).default(PlacementPolicies.expectedWait, defaultForHelp = "expected-wait")
     private val timings by TimingOptions()
 
     init {
@@ -57,7 +66,8 @@
         largestBody = Bytes(largestBody),
         bodyTime = bodyTime,
         openRequests = openRequests,
-        bufferedBytes = Bytes(bufferedBytes)
+        bufferedBytes = Bytes(bufferedBytes),
+        policies = defaultPolicies.copy(placement = placement)
     )
 
     private companion object {
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/ArrivalSchedule.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/ArrivalSchedule.kt
@@ -9,7 +9,7 @@
  * Plans an open-loop run: exponential gaps between arrivals, independent of the answers, so that
  * a slow system meets the same load as a fast one. The same seed yields the same plan.
  */
-internal fun planArrivals(
+fun planArrivals(
     profile: LoadProfile,
     requestsPerSecond: Double,
     duration: Duration,
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/CompletionCaller.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/CompletionCaller.kt
@@ -21,8 +21,9 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okio.BufferedSource
 
-/** What became of one request. Times count from its planned arrival. */
-internal data class CallOutcome(
+/** What became of request [number] of a plan. Times count from its planned arrival. */
+data class CallOutcome(
+    val number: Int,
     val promptTokens: Int,
     val error: String?,
     val firstToken: Duration?,
@@ -31,14 +32,15 @@
 )
 
 /** Where and how requests are sent. */
-internal class CallTarget(
+class CallTarget(
     val entries: List<String>,
     val service: String,
     val key: String,
     val timeoutSeconds: Int
 )
 
-internal class CompletionCaller(
+/** Sends completions to the entries in turn, by the request's number. */
+class CompletionCaller(
     private val target: CallTarget,
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic
 ) {
@@ -99,6 +101,7 @@
             else -> errorKind(end)
         }
         return CallOutcome(
+            number = planned.number,
             promptTokens = planned.promptTokens,
             error = error,
             firstToken = texts.firstOrNull()?.let { it - arrival },
@@ -110,7 +113,14 @@
     }
 
     private fun failed(planned: PlannedRequest, error: String, arrival: ComparableTimeMark) =
-        CallOutcome(planned.promptTokens, error, null, emptyList(), arrival.elapsedNow())
+        CallOutcome(
+            planned.number,
+            planned.promptTokens,
+            error,
+            null,
+            emptyList(),
+            arrival.elapsedNow()
+        )
 }
 
 private fun dataLines(source: BufferedSource): Sequence<String> =
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/LoadCommand.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/LoadCommand.kt
@@ -69,7 +69,7 @@
         )
         val plan = planArrivals(profile, rate, duration.seconds, seed)
         val caller = CompletionCaller(target)
-        val report = summarize(runLoad(plan, caller))
+        val report = summarize(runLoad(plan, caller::call))
         caller.close()
         echo(if (format == "json") Json.encodeToString(report) else describe(report))
     }
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/LoadProfile.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/LoadProfile.kt
@@ -7,7 +7,7 @@
 
 /** A named mix of requests. */
 @Serializable
-internal data class LoadProfile(val name: String, val service: String, val mix: List<MixPart>) {
+data class LoadProfile(val name: String, val service: String, val mix: List<MixPart>) {
     init {
         require(mix.isNotEmpty()) { "a profile needs at least one part" }
     }
@@ -44,12 +44,7 @@
 
 /** Requests whose prompt length (in tokens) is uniform between the two bounds. */
 @Serializable
-internal data class MixPart(
-    val weight: Int,
-    val shortest: Int,
-    val longest: Int,
-    val outputTokens: Int
-) {
+data class MixPart(val weight: Int, val shortest: Int, val longest: Int, val outputTokens: Int) {
     init {
         require(weight > 0) { "weight must be positive" }
         require(shortest in 1..longest) { "shortest must lie between 1 and longest" }
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/LoadReport.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/LoadReport.kt
@@ -25,7 +25,7 @@
 
 /** Percentiles in milliseconds; zero if nothing was recorded. */
 @Serializable
-internal data class Percentiles(val median: Double, val p95: Double, val p99: Double) {
+data class Percentiles(val median: Double, val p95: Double, val p99: Double) {
     companion object {
         fun of(durations: List<Duration>): Percentiles {
             val histogram = Histogram(SIGNIFICANT_DIGITS)
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/LoadRun.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/LoadRun.kt
@@ -4,13 +4,17 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
+import kotlin.time.ComparableTimeMark
 import kotlin.time.TimeSource
 
 /**
- * Sends the planned requests at their times, one thread per open request, and waits for all
- * answers. A request is never held back by an earlier one.
+ * Sends the planned requests by [call] at their times, one thread per open request, and waits for
+ * all answers. A request is never held back by an earlier one.
  */
-internal fun runLoad(plan: List<PlannedRequest>, caller: CompletionCaller): List<CallOutcome> {
+fun runLoad(
+    plan: List<PlannedRequest>,
+    call: (PlannedRequest, ComparableTimeMark) -> CallOutcome
+): List<CallOutcome> {
     val outcomes = ConcurrentLinkedQueue<CallOutcome>()
     val open = CountDownLatch(plan.size)
     val callers = Executors.newCachedThreadPool { task ->
@@ -23,7 +27,7 @@
         val send = Runnable {
             callers.execute {
                 try {
-                    outcomes += caller.call(planned, arrival)
+                    outcomes += call(planned, arrival)
                 } finally {
                     open.countDown()
                 }
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/PlannedRequest.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/load/PlannedRequest.kt
@@ -3,7 +3,7 @@
 import kotlin.time.Duration
 
 /** One request of a load run; [at] counts from the start of the run. */
-internal data class PlannedRequest(
+data class PlannedRequest(
     val number: Int,
     val at: Duration,
     val promptTokens: Int,
--- a/gypsumroute-cli/src/test/kotlin/org/gypsumroute/cli/SettingsTest.kt
+++ b/gypsumroute-cli/src/test/kotlin/org/gypsumroute/cli/SettingsTest.kt
@@ -16,6 +16,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.gypsumroute.agent.AgentSettings
 import org.gypsumroute.agent.BackEnd
+import org.gypsumroute.core.PlacementPolicies
+import org.gypsumroute.core.defaultPolicies
+import org.gypsumroute.core.noRamp
 import org.gypsumroute.entry.EntrySettings
 import org.junit.jupiter.api.Test
 
@@ -75,6 +78,17 @@
         assertFalse("$KEY" in "${entry?.node}")
     }
 
+    @Test
+    fun `policies are chosen by name and unknown names are refused with the accepted ones`() {
+        run("entry $NODE --placement least-outstanding")
+        assertEquals(PlacementPolicies.leastOutstanding, entry?.policies?.placement)
+        run("agent $NODE --pool p --listen-port 1 --engine-url http://e:1 --ramp none")
+        assertEquals(defaultPolicies.copy(ramp = noRamp), agent?.policies)
+        val error = run("agent $NODE --pool p --listen-port 1 --queue-order longest")
+        assertEquals(2, exitCodeOf(error))
+        assertContains(formatted(error), "one-queue")
+    }
+
     private fun run(line: String, key: String? = KEY): CliktError {
         command = GypsumrouteCommand().subcommands(
             EntryCommand({ key }) { settings -> 7.also { entry = settings } },
--- a/gypsumroute-cli/src/test/kotlin/org/gypsumroute/cli/load/ArrivalScheduleTest.kt
+++ b/gypsumroute-cli/src/test/kotlin/org/gypsumroute/cli/load/ArrivalScheduleTest.kt
@@ -26,8 +26,8 @@
     @Test
     fun `percentiles of a report come from the prompts of that length alone`() {
         val outcomes = listOf(
-            CallOutcome(1_000, null, 1.seconds, emptyList(), 2.seconds),
-            CallOutcome(500_000, null, 9.seconds, emptyList(), 10.seconds)
+            CallOutcome(0, 1_000, null, 1.seconds, emptyList(), 2.seconds),
+            CallOutcome(1, 500_000, null, 9.seconds, emptyList(), 10.seconds)
         )
         val report = summarize(outcomes)
         assertEquals(2, report.rows.size)
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
@@ -7,7 +7,6 @@
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.EntryState
 import org.gypsumroute.core.NodeIdentity
-import org.gypsumroute.core.defaultPolicies
 import org.gypsumroute.entry.http.CallersHttp
 import org.gypsumroute.entry.http.CallersHttpSettings
 import org.gypsumroute.entry.http.OperatorsHttp
@@ -31,7 +30,7 @@
     private val process: NodeProcess = NodeProcess(
         settings.node,
         EntryState(
-            common = CommonState(identity, settings.node.timings, defaultPolicies),
+            common = CommonState(identity, settings.node.timings, settings.policies),
             largestBufferedBytes = settings.bufferedBytes
         ),
         TrafficHandlers(
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntrySettings.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntrySettings.kt
@@ -2,6 +2,8 @@
 
 import kotlin.time.Duration
 import org.gypsumroute.api.Bytes
+import org.gypsumroute.core.Policies
+import org.gypsumroute.core.defaultPolicies
 import org.gypsumroute.process.NodeSettings
 
 /**
@@ -17,5 +19,6 @@
     val largestBody: Bytes,
     val bodyTime: Duration,
     val openRequests: Int,
-    val bufferedBytes: Bytes
+    val bufferedBytes: Bytes,
+    val policies: Policies = defaultPolicies
 )
--- /dev/null
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/MeasureMain.kt
@@ -0,0 +1,98 @@
+/*
+ * Main program of bin/measure.
+ */
+package org.gypsumroute.measure
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.ajalt.clikt.parameters.types.long
+import java.io.File
+import java.nio.file.Files
+import java.time.Instant
+import java.time.temporal.ChronoUnit
+import kotlin.time.DurationUnit
+import kotlin.time.TimeSource
+
+internal object MeasureMain {
+    @JvmStatic
+    fun main(arguments: Array<String>) = MeasureCommand().main(arguments)
+}
+
+private class MeasureCommand : CliktCommand(name = "measure") {
+    private val measurements = mapOf(
+        "short-prompts" to ::measureShortPrompts
+    )
+    private val only by option("--only", help = "Runs only this measurement; may be repeated")
+        .choice(*measurements.keys.toTypedArray()).multiple()
+    private val seed by option("--seed", help = "Seed of arrivals and prompt lengths")
+        .long().default(1)
+    private val output by option("--output", help = "Folder for the page and its plots")
+        .file(canBeFile = false).default(File("docs"))
+    private val label by option("--label", help = "Remark on the machine's other load")
+        .default("")
+
+    private val logs by option("--logs", help = "Folder in which the processes' logs are kept")
+        .file(canBeFile = false)
+
+    override fun help(context: Context) =
+        "Measures the goals of docs/design.md with real processes and stand-ins on loopback."
+
+    override fun run() {
+        val start = TimeSource.Monotonic.markNow()
+        val startedAt = Instant.now().truncatedTo(ChronoUnit.SECONDS).toString()
+        val load = loadAverage() + if (label.isEmpty()) "" else "; $label"
+        val work =
+            logs?.apply { mkdirs() } ?: Files.createTempDirectory("gypsumroute-measure").toFile()
+        val run = MeasureRun(RunFiles(File("."), work), seed)
+        val chosen = measurements.filterKeys { only.isEmpty() || it in only }
+        val results = chosen.map { (name, measure) ->
+            echo("$name ...")
+            val before = BusyTime.read()
+            val result = measure(run).copy(busyCores = BusyTime.read().coresSince(before))
+            for (check in result.checks) {
+                echo(
+                    "  ${check.name}: ${number(check.value)}${check.unit.prefixed()}, " +
+                        "limit ${number(check.limit)}, ${check.verdict}"
+                )
+            }
+            for (figure in result.figures) {
+                echo(
+                    "  ${figure.name}: ${number(figure.value)} / " +
+                        "${figure.baseline?.let(::number) ?: "-"}${figure.unit.prefixed()}"
+                )
+            }
+            for (note in result.notes) echo("  - $note")
+            result
+        }
+        if (logs == null) work.deleteRecursively()
+        val facts = RunFacts(
+            command = (listOf("bin/measure") + currentContextArguments()).joinToString(" "),
+            seed = seed,
+            machine = machineSize(),
+            startedAt = startedAt,
+            loadAtStart = load,
+            minutes = start.elapsedNow().toDouble(DurationUnit.MINUTES)
+        )
+        write(facts, results)
+    }
+
+    private fun currentContextArguments(): List<String> =
+        only.map { "--only $it" } + "--seed $seed" +
+            if (label.isEmpty()) emptyList() else listOf("--label '$label'")
+
+    private fun write(facts: RunFacts, results: List<Measurement>) {
+        val plots = File(output, "plots").apply { mkdirs() }
+        for (plot in results.flatMap { it.plots }) {
+            File(plots, "${plot.name}.svg").writeText(svgOf(plot))
+        }
+        val page = File(output, "MEASUREMENTS.md")
+        page.writeText(reportOf(facts, results))
+        echo("wrote $page")
+    }
+}
--- /dev/null
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/MeasureRun.kt
@@ -0,0 +1,4 @@
+package org.gypsumroute.measure
+
+/** What all measurements of one run share. */
+internal class MeasureRun(val files: RunFiles, val seed: Long)
