Measure data centre moves and the longest prompts

Adds the other measurements of the design's table: data centre out and back, longest prompts, stalled readers, cold restart, router overhead and document spread.

--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/MeasureMain.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/MeasureMain.kt
@@ -26,7 +26,13 @@
 
 private class MeasureCommand : CliktCommand(name = "measure") {
     private val measurements = mapOf(
-        "short-prompts" to ::measureShortPrompts
+        "short-prompts" to ::measureShortPrompts,
+        "data-centre-out" to ::measureDataCentreOut,
+        "longest-prompts" to ::measureLongestPrompts,
+        "slow-readers" to ::measureSlowReaders,
+        "cold-restart" to ::measureColdRestart,
+        "overhead" to ::measureOverhead,
+        "document-spread" to ::measureDocumentSpread
     )
     private val only by option("--only", help = "Runs only this measurement; may be repeated")
         .choice(*measurements.keys.toTypedArray()).multiple()
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/Measurement.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/Measurement.kt
@@ -25,7 +25,11 @@
     val isMet: Boolean get() = value <= limit
 
     val verdict: String
-        get() = if (isMet) "met" else "missed by ${number(value - limit)}${unit.prefixed()}"
+        get() = when {
+            isMet -> "met"
+            value.isFinite() -> "missed by ${number(value - limit)}${unit.prefixed()}"
+            else -> "missed, never reached"
+        }
 }
 
 /** One measured figure beside its baseline of the same run; a baseline may be absent. */
@@ -40,7 +44,7 @@
 
 /** Rounded to what the figure's size makes worth reading. */
 internal fun number(value: Double): String = when {
-    value.isNaN() -> "none"
+    !value.isFinite() -> "none"
     value == Math.rint(value) && value < 1e9 -> "%.0f".format(value)
     Math.abs(value) >= 100 -> "%.0f".format(value)
     Math.abs(value) >= 10 -> "%.1f".format(value)
