--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/ColdRestart.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/ColdRestart.kt
@@ -64,6 +64,8 @@
         val sent = CompletableFuture.supplyAsync { send(fleet, requests, timeout = 10) }
         Thread.sleep(4_000)
         fleet.agents.forEach { fleet.process(it.host).kill() }
+        // Streams of the killed agents end by themselves; they are no load that the ramp allowed.
+        await("end of earlier streams", 10.seconds) { fleet.agents.all { isIdle(it) } }
         fleet.agents.forEach { Http.post("${it.engineUrl}/test/cold?tokens=20000") }
         fleet.agents.forEach { fleet.startAgent(it) }
         val outcomes = sent.get()
@@ -71,6 +73,9 @@
         Restarted((collapses(fleet) - before).toDouble(), outcomes, after)
     }
 
+private fun isIdle(agent: Fleet.Agent): Boolean =
+    "\"streams\":{}" in Http.get("${agent.engineUrl}/state").orEmpty()
+
 private fun collapses(fleet: Fleet): Int = fleet.agents.sumOf { agent ->
     val report = checkNotNull(Http.get("${agent.engineUrl}/state")) { "no report of an engine" }
     Json.parseToJsonElement(report).jsonObject.getValue("collapses").jsonPrimitive.int
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/EngineCaller.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/EngineCaller.kt
@@ -11,6 +11,7 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
+import okio.BufferedSource
 import org.gypsumroute.cli.load.CallOutcome
 import org.gypsumroute.cli.load.PlannedRequest
 
@@ -28,28 +29,42 @@
             .header("Stream-Options", options)
             .post(head.padEnd(planned.promptTokens * 4, 'x').toRequestBody())
             .build()
-        var first: Duration? = null
-        var error: String? = null
-        try {
+        return try {
             client.newCall(request).execute().use { response ->
-                val source = response.body.source()
-                if (!response.isSuccessful) error = "status ${response.code}"
-                while (true) {
-                    val line = source.readUtf8Line() ?: break
-                    if (first == null && "\"chunk\"" in line) first = arrival.elapsedNow()
-                    if ("\"failed\"" in line) error = line
-                }
+                val error = if (response.isSuccessful) null else "status ${response.code}"
+                read(planned, response.body.source(), arrival, error)
             }
         } catch (failure: IOException) {
-            error = "connection: ${failure.message}"
+            outcome(planned, "connection: ${failure.message}", null, arrival)
+        }
+    }
+
+    private fun read(
+        planned: PlannedRequest,
+        source: BufferedSource,
+        arrival: ComparableTimeMark,
+        refusal: String?
+    ): CallOutcome {
+        var first: Duration? = null
+        var error = refusal
+        for (line in generateSequence { source.readUtf8Line() }) {
+            if (first == null && "\"chunk\"" in line) first = arrival.elapsedNow()
+            if ("\"failed\"" in line) error = line
         }
-        return CallOutcome(
-            planned.number,
-            planned.promptTokens,
-            error,
-            first,
-            emptyList(),
-            arrival.elapsedNow()
-        )
+        return outcome(planned, error, first, arrival)
     }
+
+    private fun outcome(
+        planned: PlannedRequest,
+        error: String?,
+        first: Duration?,
+        arrival: ComparableTimeMark
+    ) = CallOutcome(
+        planned.number,
+        planned.promptTokens,
+        error,
+        first,
+        emptyList(),
+        arrival.elapsedNow()
+    )
 }
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/SlowReaders.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/SlowReaders.kt
@@ -32,7 +32,7 @@
         figures = listOf(
             Figure("engine tokens held", held.engineAfter, held.enginePeak, "tokens"),
             Figure("answer bytes of each reader", answer, null, "bytes"),
-            Figure("entry heap for each reader", held.heapEach, null, "bytes"),
+            Figure("entry heap for each reader", held.heapEach, held.idleEach, "bytes"),
             Figure("entry resident memory for each reader", held.residentEach, null, "bytes"),
             Figure("kernel send queue for each reader", held.kernelEach, null, "bytes"),
             Figure("readers listed as stalled", held.listed, null, "readers")
@@ -45,6 +45,8 @@
                 "tokens each and read nothing. ${held.opened} streams were seen at the engines. " +
                 "Heap is what is in use after a full collection, less the same before the " +
                 "readers came. Resident memory also counts heap that the JVM took for garbage.",
+            "The baseline of the heap is $READERS open connections whose answers of $FEW_TOKENS " +
+                "tokens ended: what the HTTP server keeps for a connection as such.",
             "The kernel's send queue holds what the entry has written; only the rest is held " +
                 "by the entry."
         ),
@@ -64,6 +66,7 @@
     val enginePeak: Double,
     val engineAfter: Double,
     val heapEach: Double,
+    val idleEach: Double,
     val residentEach: Double,
     val kernelEach: Double,
     val listed: Double,
@@ -76,8 +79,9 @@
     val pid = fleet.process(entry.host).pid
     await("idle engines", 10.seconds) { fleet.agents.all { engineReport(it).first == 0L } }
     val heapBefore = heapInUse(pid)
+    val idle = heapOfIdle(fleet, entry.callersPort, pid) - heapBefore
     val residentBefore = residentBytes(pid)
-    val sockets = List(READERS) { openStalled(entry.callersPort, it) }
+    val sockets = List(READERS) { openStalled(entry.callersPort, it, TOKENS) }
     val seen = mutableSetOf<String>()
     var peak = 0L
     await("end of generation", 90.seconds) {
@@ -90,6 +94,8 @@
     val after = fleet.agents.sumOf { engineReport(it).first }
     val heap = heapInUse(pid) - heapBefore
     val resident = residentBytes(pid) - residentBefore
+    File(fleet.process(entry.host).log.parentFile, "entry-heap.txt")
+        .writeText(jcmd(pid, "GC.class_histogram"))
     val kernel = sendQueues(entry.callersPort)
     val status = Json.parseToJsonElement(checkNotNull(Http.get(entry.statusUrl))).jsonObject
     val listed = status.getValue("slow_readers").jsonArray.size
@@ -98,6 +104,7 @@
         enginePeak = peak.toDouble(),
         engineAfter = after.toDouble(),
         heapEach = heap.toDouble() / READERS,
+        idleEach = idle.toDouble() / READERS,
         residentEach = resident.toDouble() / READERS,
         kernelEach = kernel.toDouble() / READERS,
         listed = listed.toDouble(),
@@ -105,11 +112,23 @@
     )
 }
 
-private fun openStalled(port: Int, number: Int): Socket {
+/** Heap in use with as many open connections whose short answers ended; closes them again. */
+private fun heapOfIdle(fleet: Fleet, port: Int, pid: Long): Long {
+    val sockets = List(READERS) { openStalled(port, it, FEW_TOKENS) }
+    Thread.sleep(2_000)
+    await("end of short answers", 30.seconds) { fleet.agents.all { engineReport(it).first == 0L } }
+    Thread.sleep(1_000)
+    val heap = heapInUse(pid)
+    sockets.forEach { it.close() }
+    Thread.sleep(1_000)
+    return heap
+}
+
+private fun openStalled(port: Int, number: Int, tokens: Int): Socket {
     val socket = Socket().apply { receiveBufferSize = 4_096 }
     socket.connect(InetSocketAddress(Fleet.LOOPBACK, port))
     val prompt = "reader $number ".padEnd(4_000, 'x')
-    val body = """{"model":"${ServiceText.SERVICE}","stream":true,"max_tokens":$TOKENS,""" +
+    val body = """{"model":"${ServiceText.SERVICE}","stream":true,"max_tokens":$tokens,""" +
         """"prompt":"$prompt"}"""
     val head = listOf(
         "POST /v1/completions HTTP/1.1",
@@ -159,6 +178,7 @@
 
 private const val READERS = 500
 private const val TOKENS = 1_000
+private const val FEW_TOKENS = 8
 private const val STATE = 3
 private const val QUEUES = 4
 private const val ESTABLISHED = "01"
