Give short prompts the higher engine priority

Cause: the agent passed the index of the length class as the engine's priority. Classes are numbered from the shortest, while engines prefill the highest number first, so a long prompt's prefill held every short one up. PlannedStopTest met it: two short streams beside a prefill of 15 s got their first tokens only when that prefill had ended (test failed three times).

Change: the negated index is the priority.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DispatchReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DispatchReducer.kt
@@ -85,7 +85,8 @@
         actions = opened.action?.let { state.actions.running(it, id) } ?: state.actions
     )
     return putLease(started, lease.copy(phase = LeasePhase.RUNNING)).then {
-        it.step(workEffect(lease, opened.lengthClass))
+        // Engines prefill the highest priority first, and classes are numbered from the shortest.
+        it.step(workEffect(lease, priority = -opened.lengthClass))
     }
 }
 
