Wait for the first read of documents before readiness; count an engine's base latency as warm

Cause: under load an entry was ready 3 s after its start with one of two documents and answered service_unknown for the other (SmallFleetTest). A warm engine's first token of a 1,000-token prompt takes a batch step of 20 ms, over three times the 5 ms that prefill speed alone allows, so warm engines were judged cold 39 times in a measurement. Change: readiness needs the end of the first read of the configuration service; the document has ramp.warmFirstToken (default 50 ms), a part of the warm estimate.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ServiceDocument.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ServiceDocument.kt
@@ -67,12 +67,16 @@
     val answerBytesPerOrganisation: Bytes
 )
 
-/** How a cold endpoint's offered share of capacity grows. */
+/**
+ * How a cold endpoint's offered share of capacity grows. A warm engine takes [warmFirstToken] for
+ * a prompt of a few tokens, and [warmPrefillTokensPerSecond] tells how much more for a longer one.
+ */
 data class RampRule(
     val initialShare: Double,
     val completionsPerStep: Int,
     val growthFactor: Double,
     val coldFactor: Double,
+    val warmFirstToken: Duration,
     val warmPrefillTokensPerSecond: Long
 )
 
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/check/DocumentFields.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/check/DocumentFields.kt
@@ -61,6 +61,7 @@
     put("ramp.completionsPerStep", "${document.ramp.completionsPerStep}")
     put("ramp.growthFactor", "${document.ramp.growthFactor}")
     put("ramp.coldFactor", "${document.ramp.coldFactor}")
+    put("ramp.warmFirstToken", "${document.ramp.warmFirstToken}")
     put("ramp.warmPrefillTokensPerSecond", "${document.ramp.warmPrefillTokensPerSecond}")
 }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentValidation.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentValidation.kt
@@ -207,6 +207,7 @@
     range("ramp.completionsPerStep", ramp.completionsPerStep, 1..MOST_COMPLETIONS)
     factor("ramp.growthFactor", ramp.growthFactor)
     factor("ramp.coldFactor", ramp.coldFactor)
+    range("ramp.warmFirstToken", ramp.warmFirstToken, 1.minutes)
     range(
         "ramp.warmPrefillTokensPerSecond",
         ramp.warmPrefillTokensPerSecond,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentsReducer.kt
@@ -114,7 +114,7 @@
     succeeded: Boolean
 ): Step<CommonState> {
     val failure = logEffect(LogEvent.CONFIGURATION_UNAVAILABLE)
-    val idle = common.copy(documents = common.documents.copy(watching = false))
+    val idle = common.copy(documents = common.documents.copy(watching = false, readEnded = true))
     return when {
         !succeeded -> idle.step(failure, readTimer(common, common.timings.documentBackoff))
         isDocumentWatcher(common) -> startWatch(idle)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/WarmthReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/WarmthReducer.kt
@@ -24,7 +24,8 @@
         share = state.shareFor(document),
         completionsAtShare = state.warmth.completions + 1,
         elapsed = elapsed,
-        warmEstimate = state.common.policies.prefillEstimate(work, document.ramp)
+        warmEstimate = document.ramp.warmFirstToken +
+            state.common.policies.prefillEstimate(work, document.ramp)
     )
     val share = state.common.policies.ramp(question).coerceIn(0.0, 1.0)
     return when {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/TestStates.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/TestStates.kt
@@ -3,6 +3,7 @@
  */
 package org.gypsumroute.core
 
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -91,7 +92,7 @@
     ),
     dataCentresOut = emptySet(),
     limits = LimitRule(8, 32, Bytes(8L * 1024 * 1024)),
-    ramp = RampRule(0.1, 2, 2.0, 3.0, 100_000),
+    ramp = RampRule(0.1, 2, 2.0, 3.0, Duration.ZERO, 100_000),
     retry = RetryRule(3, 0.2, 50.milliseconds, 1.seconds),
     group = GroupRule(4, 0.5, 2.seconds),
     actions = ActionRule(emptyList(), 10_000)
@@ -101,7 +102,7 @@
     name: String,
     upTo: Long,
     reservedShare: Double,
-    firstToken: kotlin.time.Duration
+    firstToken: Duration
 ) = LengthClass(
     name = LengthClassName(name),
     upTo = Tokens(upTo),
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/DocumentSections.kt
+++ b/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/DocumentSections.kt
@@ -84,6 +84,7 @@
     completionsPerStep = int("completionsPerStep", default = 4),
     growthFactor = number("growthFactor", default = 2.0),
     coldFactor = number("coldFactor", default = 3.0),
+    warmFirstToken = duration("warmFirstToken", default = 50.milliseconds),
     warmPrefillTokensPerSecond = long("warmPrefillTokensPerSecond")
 )
 
--- a/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/BurnTrackerTest.kt
+++ b/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/BurnTrackerTest.kt
@@ -116,7 +116,7 @@
         organisations = emptyList(),
         dataCentresOut = emptySet(),
         limits = LimitRule(1, 1, Bytes.ZERO),
-        ramp = RampRule(1.0, 1, 1.0, 1.0, 1),
+        ramp = RampRule(1.0, 1, 1.0, 1.0, 1.seconds, 1),
         retry = RetryRule(1, 0.0, 1.seconds, 1.seconds),
         group = GroupRule(1, 1.0, 1.seconds),
         actions = ActionRule(emptyList(), 1)
