--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/CommonReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/CommonReducer.kt
@@ -87,9 +87,13 @@
     }
 }
 
-/** Moves to ready when documents are known, or after the start-up wait. */
+/**
+ * Ready once the first read of the configuration service ended, with or without success, and peers
+ * had the start-up wait to tell what they know. A process that is ready with a part of the
+ * documents would refuse the services of the others as unknown.
+ */
 internal fun updateReadiness(common: CommonState): Step<CommonState> {
-    val documented = common.documents.accepted.isNotEmpty()
+    val documented = common.documents.readEnded && common.documents.accepted.isNotEmpty()
     val ready = common.drain == DrainPhase.SERVING && common.startupOver && documented
     if (ready == common.ready) return common.step()
     val next = common.copy(ready = ready)
