Test access and limits of callers' and agents' ports

Cause: nothing showed that bearer keys stay out of logs and pages, that agents refuse strangers, or that the limits of the callers' port hold; many short header lines together had no limit.

--- /dev/null
+++ b/gypsumroute-agent/src/test/kotlin/org/gypsumroute/agent/AgentAccessTest.kt
@@ -0,0 +1,109 @@
+/*
+ * Guards against agents that take work from processes outside the fleet.
+ */
+package org.gypsumroute.agent
+
+import java.net.Socket
+import java.net.SocketException
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.api.PoolId
+import org.gypsumroute.api.RegionId
+import org.gypsumroute.process.NodeSettings
+import org.gypsumroute.process.SharedKey
+import org.gypsumroute.runtime.LogFormat
+import org.gypsumroute.wire.DataFrame
+import org.gypsumroute.wire.PeerConnection
+import org.gypsumroute.wire.PeerHello
+import org.gypsumroute.wire.PeerReceiver
+import org.gypsumroute.wire.PeerTransport
+import org.gypsumroute.wire.PeerTransportError
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+
+class AgentAccessTest {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val agent = AgentProcess(settings()) {}.also { it.start() }
+
+    @AfterEach
+    fun stop() {
+        agent.stop()
+        scope.cancel()
+    }
+
+    @Test
+    fun `an entry with a wrong shared key is refused and one with the right key is let in`() =
+        runBlocking {
+            for (key in listOf("another-key-of-a-fleet", "key-of-this-fleet", "")) {
+                assertIs<PeerTransportError.HandshakeRefused>(connect("$key ").leftOrNull(), key)
+            }
+            assertTrue(connect(KEY).isRight())
+        }
+
+    @Test
+    fun `a stranger that sends frames without a handshake is cut off`() {
+        Socket("127.0.0.1", agent.port).use { socket ->
+            socket.soTimeout = 10.seconds.inWholeMilliseconds.toInt()
+            socket.getOutputStream().write(ByteArray(5) + "GET / HTTP/1.1\r\n\r\n".toByteArray())
+            val next = try {
+                socket.getInputStream().read()
+            } catch (_: SocketException) {
+                -1 // A reset ends the connection as well.
+            }
+            assertEquals(-1, next)
+        }
+    }
+
+    private suspend fun connect(key: String) = PeerTransport(
+        PeerHello(
+            HostId("entry-1"),
+            IncarnationId("entry-1#1"),
+            NodeRole.ENTRY,
+            DataCentreId("thamel")
+        ),
+        key.toByteArray(),
+        scope,
+        Ignoring
+    ).connect("127.0.0.1", agent.port)
+
+    private object Ignoring : PeerReceiver {
+        override fun connected(connection: PeerConnection) = Unit
+        override fun control(connection: PeerConnection, message: PeerMessage) = Unit
+        override fun data(connection: PeerConnection, frame: DataFrame) = Unit
+        override fun closed(connection: PeerConnection, cause: String) = Unit
+    }
+
+    private fun settings() = AgentSettings(
+        node = NodeSettings(
+            host = HostId("agent-1"),
+            region = RegionId("bagmati"),
+            dataCentre = DataCentreId("thamel"),
+            configurationUrl = NOWHERE,
+            hostListUrl = NOWHERE,
+            sharedKey = SharedKey(KEY.toByteArray()),
+            logFormat = LogFormat.JSON,
+            drainLimit = 1.seconds
+        ),
+        pool = PoolId("menu-engines"),
+        listenAddress = "127.0.0.1",
+        listenPort = 0,
+        backEnd = BackEnd.Engine(NOWHERE)
+    )
+
+    private companion object {
+        const val KEY = "key-of-this-fleet"
+        const val NOWHERE = "http://127.0.0.1:1"
+    }
+}
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallerHeaders.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallerHeaders.kt
@@ -40,6 +40,12 @@
 internal fun isUsableRequestId(id: String): Boolean =
     id.length in 1..LONGEST_REQUEST_ID && id.all { it in '!'..'~' && it != '"' }
 
+/** Characters of all header names and values; the server limits only each line, to 8 KiB. */
+internal fun headerSize(call: ApplicationCall): Int =
+    call.request.headers.entries().sumOf { (name, values) ->
+        values.sumOf { name.length + it.length }
+    }
+
 private fun bearerKey(call: ApplicationCall): String? {
     val header = call.request.header(HttpHeaders.Authorization) ?: return null
     return header.substringAfter(' ').trim()
@@ -57,6 +63,9 @@
 internal const val TIMEOUT_HEADER = "X-Request-Timeout"
 internal const val ACTION_KEY_HEADER = "Idempotency-Key"
 internal const val REQUEST_ID_HEADER = "X-Request-Id"
+
+/** Largest headers of a request, all together. */
+internal const val LARGEST_HEADERS = 32 * 1024
 private const val LONGEST_REQUEST_ID = 128
 
 // A bound that keeps the arithmetic of deadlines safe; documents set the real limit.
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallersHttp.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallersHttp.kt
@@ -98,6 +98,9 @@
                     "$REQUEST_ID_HEADER: 1 to 128 characters, no space"
                 )
 
+            headerSize(call) > LARGEST_HEADERS ->
+                Failure(ErrorKind.MALFORMED_REQUEST, "headers exceed $LARGEST_HEADERS bytes")
+
             open.get() >= settings.openRequests ->
                 Failure(ErrorKind.OVERLOADED, "this entry holds ${settings.openRequests} requests")
 
