--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/ReducerLoop.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/ReducerLoop.kt
@@ -39,8 +39,7 @@
     fun advance(by: Duration) {
         val end = now + by
         while (true) {
-            val (timer, due) = timers.minByOrNull { it.value } ?: break
-            if (due > end) break
+            val (timer, due) = timers.minByOrNull { it.value }?.takeIf { it.value <= end } ?: break
             now = due
             timers.remove(timer)
             offer(RuntimeEvent.TimerFired(timer))
