--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/TestStates.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/TestStates.kt
@@ -99,17 +99,13 @@
     actions = ActionRule(emptyList(), 10_000)
 )
 
-private fun lengthClass(
-    name: String,
-    upTo: Long,
-    reservedShare: Double,
-    firstToken: Duration
-) = LengthClass(
-    name = LengthClassName(name),
-    upTo = Tokens(upTo),
-    reservedShare = reservedShare,
-    firstTokenObjective = firstToken,
-    betweenTokensObjective = 48.milliseconds,
-    objectiveShare = 0.95,
-    longestWait = firstToken * 2
-)
+private fun lengthClass(name: String, upTo: Long, reservedShare: Double, firstToken: Duration) =
+    LengthClass(
+        name = LengthClassName(name),
+        upTo = Tokens(upTo),
+        reservedShare = reservedShare,
+        firstTokenObjective = firstToken,
+        betweenTokensObjective = 48.milliseconds,
+        objectiveShare = 0.95,
+        longestWait = firstToken * 2
+    )
