--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/LineFrontEndTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/LineFrontEndTest.kt
@@ -90,6 +90,7 @@
     private fun start() {
         loop.offer(RuntimeEvent.Started)
         loop.offer(PlatformEvent.DocumentRead(null, testDocument().right()))
+        loop.offer(PlatformEvent.ConfigurationReadEnded(succeeded = true))
         loop.offer(PlatformEvent.HostsRead(listOf(agent)))
         loop.run()
         loop.advance(5.seconds)
