--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ReconciliationTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ReconciliationTest.kt
@@ -57,7 +57,9 @@
         assertEquals(ErrorKind.ENGINE_FAILED to RunState.RAN, failure.outcome)
         assertEquals(Tokens(1_500), agent.state.ledger.reserved)
         agent.run("b")
-        val refused = agent.feed(EngineEvent.StreamFailed(LeaseId("b"), false, "busy")).workFailure()
+        val refused = agent.feed(
+            EngineEvent.StreamFailed(LeaseId("b"), false, "busy")
+        ).workFailure()
         assertEquals(ErrorKind.ENGINE_REFUSED to notRun, refused.outcome)
         assertEquals(Tokens(1_500), agent.state.ledger.reserved)
     }
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/Benchmark.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/Benchmark.kt
@@ -15,6 +15,8 @@
 
 /** Bytes of heap that the result of [build] retains. */
 internal fun retainedBytes(build: () -> Any): Long {
+    // A first build loads classes and fills caches, which later builds share.
+    build()
     // A first build loads classes and fills caches, which later builds share.
     build()
     val before = usedHeap()
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/SampleFleet.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/SampleFleet.kt
@@ -15,13 +15,11 @@
 import org.gypsumroute.api.DocumentContent
 import org.gypsumroute.api.DocumentDigest
 import org.gypsumroute.api.DocumentVersion
-import org.gypsumroute.api.Effect
 import org.gypsumroute.api.EncodedDocument
 import org.gypsumroute.api.EndpointSummary
 import org.gypsumroute.api.EngineEvent
 import org.gypsumroute.api.EngineModel
 import org.gypsumroute.api.EngineState
-import org.gypsumroute.api.Event
 import org.gypsumroute.api.FencingNumber
 import org.gypsumroute.api.GroupRule
 import org.gypsumroute.api.HostId
@@ -31,7 +29,6 @@
 import org.gypsumroute.api.LengthClassName
 import org.gypsumroute.api.LimitRule
 import org.gypsumroute.api.ModelId
-import org.gypsumroute.api.Moment
 import org.gypsumroute.api.NodeRole
 import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.OrganisationRule
@@ -52,27 +49,8 @@
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.EntryState
 import org.gypsumroute.core.NodeIdentity
-import org.gypsumroute.core.NodeState
 import org.gypsumroute.core.Timings
 import org.gypsumroute.core.defaultPolicies
-import org.gypsumroute.core.reduce
-
-/** A process under measurement. */
-internal class SampleProcess(var state: NodeState) {
-    private var now = Moment.START
-
-    fun feed(event: Event): List<Effect> {
-        now += 1.milliseconds
-        state = reduce(state, RuntimeEvent.ClockRead(now, now.milliseconds * ENTROPY_FACTOR)).state
-        val step = reduce(state, event)
-        state = step.state
-        return step.effects
-    }
-
-    private companion object {
-        const val ENTROPY_FACTOR = 2_654_435_761L
-    }
-}
 
 /** An entry connected to [endpoints] endpoints. */
 internal fun sampleEntry(endpoints: Int, organisations: Int = 20): SampleProcess {
