--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentValidation.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentValidation.kt
@@ -207,7 +207,11 @@
     range("ramp.completionsPerStep", ramp.completionsPerStep, 1..MOST_COMPLETIONS)
     factor("ramp.growthFactor", ramp.growthFactor)
     factor("ramp.coldFactor", ramp.coldFactor)
-    range("ramp.warmFirstToken", ramp.warmFirstToken, 1.minutes)
+    rule(
+        ramp.warmFirstToken in Duration.ZERO..1.minutes,
+        "ramp.warmFirstToken",
+        "must be 0s to 1m"
+    )
     range(
         "ramp.warmPrefillTokensPerSecond",
         ramp.warmPrefillTokensPerSecond,
