Grow the ramp by noticeable work; answer callers that close their connection

Cause: ColdRestartTest collapsed 1 to 2 of 16 cold engines: on short prompts a cold engine starts within the same batch step as a warm one, so completions alone grew the share. An answer to a request with Connection: close was empty in about 1 of 5 runs: the server stops reading after such a request, which cancelled the call.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Capacity.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Capacity.kt
@@ -38,7 +38,14 @@
 
 /** The ramp policy decides the first share too, so that a baseline can switch the ramp off. */
 internal fun AgentState.initialShare(document: ServiceDocument): Double = common.policies.ramp(
-    RampQuestion(document.ramp, document.ramp.initialShare, 0, Duration.ZERO, Duration.ZERO)
+    RampQuestion(
+        rule = document.ramp,
+        share = document.ramp.initialShare,
+        completionsAtShare = 0,
+        workAtShare = Duration.ZERO,
+        elapsed = Duration.ZERO,
+        warmEstimate = Duration.ZERO
+    )
 )
 
 /** Slots on offer; one at least, so that a cold endpoint can warm up. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Policies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Policies.kt
@@ -74,11 +74,15 @@
     val served: Map<OrganisationId, Double>
 )
 
-/** What a ramp decides on: a completion took [elapsed] where a warm engine takes [warmEstimate]. */
+/**
+ * What a ramp decides on: a completion took [elapsed] where a warm engine takes [warmEstimate].
+ * [workAtShare] is the warm prefill time of all completions at this share.
+ */
 data class RampQuestion(
     val rule: RampRule,
     val share: Double,
     val completionsAtShare: Int,
+    val workAtShare: Duration,
     val elapsed: Duration,
     val warmEstimate: Duration
 )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RampPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RampPolicies.kt
@@ -3,13 +3,19 @@
  */
 package org.gypsumroute.core
 
-/** Grows by the document's factor after enough completions at warm speed; resets when slow. */
+/**
+ * Grows by the document's factor after enough completions at warm speed; resets when slow.
+ *
+ * The completions must add up to prefill work that stands out from the engine's base latency: on
+ * short prompts a cold engine is not measurably slower, and 16 of them grew past what they bore.
+ */
 val growAtWarmSpeed: RampPolicy = { question ->
     val rule = question.rule
     when {
         isCold(question) -> minOf(question.share, rule.initialShare)
 
-        question.completionsAtShare >= maxOf(rule.completionsPerStep, 1) ->
+        question.completionsAtShare >= maxOf(rule.completionsPerStep, 1) &&
+            question.workAtShare >= rule.warmFirstToken * rule.completionsPerStep ->
             minOf(1.0, question.share * rule.growthFactor)
 
         else -> question.share
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/WarmthReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/WarmthReducer.kt
@@ -4,6 +4,7 @@
 package org.gypsumroute.core
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Step
@@ -19,20 +20,26 @@
     val work = Tokens(
         if (reservation.onEngine) state.ledger.opened - reservation.prefillMark else 0
     )
+    val prefill = state.common.policies.prefillEstimate(work, document.ramp)
     val question = RampQuestion(
         rule = document.ramp,
         share = state.shareFor(document),
         completionsAtShare = state.warmth.completions + 1,
+        workAtShare = state.warmth.work + if (reservation.onEngine) prefill else CALL_WORK,
         elapsed = elapsed,
-        warmEstimate = document.ramp.warmFirstToken +
-            state.common.policies.prefillEstimate(work, document.ramp)
+        warmEstimate = document.ramp.warmFirstToken + prefill
     )
     val share = state.common.policies.ramp(question).coerceIn(0.0, 1.0)
     return when {
         share < question.share -> turnCold(state, reservation.service, "prefill took $elapsed")
+
         share > question.share -> state.copy(warmth = Warmth(share)).step()
+
         isCold(question) -> state.copy(warmth = Warmth(share)).step()
-        else -> state.copy(warmth = Warmth(share, question.completionsAtShare)).step()
+
+        else -> state.copy(
+            warmth = Warmth(share, question.completionsAtShare, question.workAtShare)
+        ).step()
     }
 }
 
@@ -76,3 +83,6 @@
         }
     }
 }
+
+// Calls of plain services have no prefill; their number alone lets the share grow.
+private val CALL_WORK = 1.minutes
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/WarmthReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/WarmthReducerTest.kt
@@ -33,6 +33,17 @@
         assertEquals(listOf(0.1, 0.2, 0.2, 0.4, 0.4, 0.8, 0.8, 1.0), shares)
     }
 
+    // 1 to 2 of 16 cold engines collapsed: the share grew on short prompts, which a cold engine
+    // starts within the same batch step as a warm one.
+    @Test
+    fun `completions too short to tell a cold engine from a warm one grow nothing alone`() {
+        val rule = testDocument().document.ramp.copy(warmFirstToken = 50.milliseconds)
+        val question = RampQuestion(rule, 0.1, 2, 10.milliseconds, 20.milliseconds, 55.milliseconds)
+        assertEquals(0.1, growAtWarmSpeed(question))
+        val enough = question.copy(completionsAtShare = 20, workAtShare = 100.milliseconds)
+        assertEquals(0.2, growAtWarmSpeed(enough))
+    }
+
     @Test
     fun `a prefill slower than the cold factor starts the ramp again`() {
         repeat(8) { serve(10.milliseconds) }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallersHttp.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallersHttp.kt
@@ -21,8 +21,10 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
 import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.job
+import kotlinx.coroutines.withContext
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.addJsonObject
 import kotlinx.serialization.json.buildJsonObject
@@ -87,6 +89,15 @@
     private suspend fun serve(
         call: ApplicationCall,
         work: suspend (Exchange, CallerHeaders) -> Unit
+    ) = if (closesConnection(call)) {
+        withContext(NonCancellable) { serveUnlessRefused(call, work) }
+    } else {
+        serveUnlessRefused(call, work)
+    }
+
+    private suspend fun serveUnlessRefused(
+        call: ApplicationCall,
+        work: suspend (Exchange, CallerHeaders) -> Unit
     ) {
         val given = call.request.header(REQUEST_ID_HEADER)
         val request = given?.takeIf(::isUsableRequestId)?.let(::RequestId) ?: newRequestId()
@@ -121,6 +132,13 @@
         }
     }
 
+    /**
+     * Whether the caller asked for the connection's close after this answer. The server then stops
+     * reading and may take that for the caller's leaving, which would cancel the answer.
+     */
+    private fun closesConnection(call: ApplicationCall): Boolean =
+        call.request.header(HttpHeaders.Connection).equals("close", ignoreCase = true)
+
     private suspend fun serveOpened(
         call: ApplicationCall,
         exchange: Exchange,
