--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/SampleFleet.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/SampleFleet.kt
@@ -56,6 +56,7 @@
 internal fun sampleEntry(endpoints: Int, organisations: Int = 20): SampleProcess {
     val process = SampleProcess(EntryState(commonState(NodeRole.ENTRY, "entry-1")))
     process.feed(PlatformEvent.DocumentRead(null, sampleDocument(1, organisations).right()))
+    process.feed(PlatformEvent.ConfigurationReadEnded(succeeded = true))
     process.feed(PlatformEvent.HostsRead(sampleHosts(endpoints)))
     repeat(endpoints) { process.feed(connected("agent-$it", it.toLong(), NodeRole.AGENT)) }
     process.feed(RuntimeEvent.TimerFired(TimerId.Startup))
@@ -67,6 +68,7 @@
     val common = commonState(NodeRole.AGENT, "agent-1")
     val process = SampleProcess(AgentState(common, ActionSecret("secret")))
     process.feed(PlatformEvent.DocumentRead(null, sampleDocument(1, organisations = 20).right()))
+    process.feed(PlatformEvent.ConfigurationReadEnded(succeeded = true))
     repeat(entries) { process.feed(connected("entry-$it", it.toLong(), NodeRole.ENTRY)) }
     process.feed(RuntimeEvent.TimerFired(TimerId.EngineCheck))
     process.feed(EngineEvent.StateRead(idleEngine))
