--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GroupsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GroupsReducer.kt
@@ -116,7 +116,7 @@
     val plan = record?.group
     val expected = lease != null && lease.stage == LeaseStage.DISPATCHED && !lease.answering &&
         lease.kind == WorkKind.SEGMENT
-    if (!expected || lease == null || plan == null) return state.step()
+    if (!expected || plan == null) return state.step()
     val index = lease.share?.index ?: return state.step()
     val ready = record.copy(
         group = plan.copy(handles = plan.handles + message.handle),
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RequestEnding.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RequestEnding.kt
@@ -39,7 +39,7 @@
     val over = record == null || record.phase == RequestPhase.DELIVERING ||
         record.deadline > state.common.now
     return when {
-        over || record == null -> next.step()
+        over -> next.step()
 
         record.terms.kind == WorkKind.ACTION && record.phase == RequestPhase.WAITING &&
             record.lastRefusal?.runState != RunState.NOT_RUN ->
