--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
@@ -3,12 +3,12 @@
 import kotlin.time.TimeSource
 import kotlinx.coroutines.runBlocking
 import org.gypsumroute.api.NodeRole
+import org.gypsumroute.clients.EngineClient
+import org.gypsumroute.clients.PlainServiceClient
 import org.gypsumroute.core.ActionSecret
 import org.gypsumroute.core.AgentState
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.NodeIdentity
-import org.gypsumroute.platform.EngineClient
-import org.gypsumroute.platform.PlainServiceClient
 import org.gypsumroute.process.NodeProcess
 import org.gypsumroute.process.StopSignals
 import org.gypsumroute.process.TrafficHandlers
--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/EngineCalls.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/EngineCalls.kt
@@ -13,10 +13,10 @@
 import org.gypsumroute.api.HandleId
 import org.gypsumroute.api.LeaseId
 import org.gypsumroute.api.Tokens
-import org.gypsumroute.platform.ClientFailure
-import org.gypsumroute.platform.EngineClient
-import org.gypsumroute.platform.EngineStreamEvent
-import org.gypsumroute.platform.EngineStreamRequest
+import org.gypsumroute.clients.ClientFailure
+import org.gypsumroute.clients.EngineClient
+import org.gypsumroute.clients.EngineStreamEvent
+import org.gypsumroute.clients.EngineStreamRequest
 import org.gypsumroute.runtime.EventSink
 
 /** All functions return at once; a client's threads call back. */
--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/ServiceCalls.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/ServiceCalls.kt
@@ -7,8 +7,8 @@
 import org.gypsumroute.api.EngineEvent
 import org.gypsumroute.api.LeaseId
 import org.gypsumroute.api.Tokens
-import org.gypsumroute.platform.PlainServiceAnswer
-import org.gypsumroute.platform.PlainServiceClient
+import org.gypsumroute.clients.PlainServiceAnswer
+import org.gypsumroute.clients.PlainServiceClient
 import org.gypsumroute.runtime.EventSink
 
 /** Calls to the plain service beside this agent; each is made once and never given up. */
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/NodeRole.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/NodeRole.kt
@@ -1,4 +1,4 @@
 package org.gypsumroute.api
 
 /** The role of a gypsumroute process. */
-enum class NodeRole { ENTRY, AGENT }
+enum class NodeRole { ENTRY, AGENT, GATEWAY }
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ServiceDocument.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ServiceDocument.kt
@@ -1,7 +1,7 @@
 /*
  * The service document: the one page a team writes to govern its service.
  *
- * `docs/service-document.md` describes the YAML form. Codecs live in gypsumroute-platform and the
+ * `docs/service-document.md` describes the YAML form. Codecs live in gypsumroute-clients and the
  * validation rules in gypsumroute-core; all processes accept exactly the same bytes.
  */
 package org.gypsumroute.api
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
@@ -34,4 +34,13 @@
 
     /** Next order to the engine may be given. */
     data object EngineOrder : TimerId
+
+    /** End of the time that a forwarded request has. */
+    data class ForwardDeadline(val request: RequestId) : TimerId
+
+    /** Next read of the published records after a failure. */
+    data object PublishedRead : TimerId
+
+    /** End of the time in which lapsed endpoint records may return. */
+    data object EndpointReturn : TimerId
 }
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/Main.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/Main.kt
@@ -15,6 +15,7 @@
 import org.gypsumroute.cli.check.CheckCommand
 import org.gypsumroute.cli.load.LoadCommand
 import org.gypsumroute.cli.status.StatusCommand
+import org.gypsumroute.platform.GatewayCommand
 
 /** Starts the command line; settings with faults end it with exit code 2. */
 fun main(arguments: Array<String>) {
@@ -32,6 +33,7 @@
 internal fun gypsumrouteCommand(): GypsumrouteCommand = GypsumrouteCommand().subcommands(
     EntryCommand(),
     AgentCommand(),
+    GatewayCommand(),
     CheckCommand(),
     StatusCommand(),
     BurnCommand(),
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/check/CheckCommand.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/check/CheckCommand.kt
@@ -21,7 +21,7 @@
 import org.gypsumroute.cli.STATUS_OK
 import org.gypsumroute.cli.VARIABLE_PREFIX
 import org.gypsumroute.cli.url
-import org.gypsumroute.platform.DocumentYamlCodec
+import org.gypsumroute.clients.DocumentYamlCodec
 
 /** `gypsumroute check`: validates service documents without a running fleet. */
 internal class CheckCommand(private val read: ReadNode = NodeClient()::read) :
--- a/gypsumroute-cli/src/test/kotlin/org/gypsumroute/cli/check/CheckCommandTest.kt
+++ b/gypsumroute-cli/src/test/kotlin/org/gypsumroute/cli/check/CheckCommandTest.kt
@@ -16,7 +16,7 @@
 import kotlin.test.assertFalse
 import org.gypsumroute.cli.NodePage
 import org.gypsumroute.cli.ReadNode
-import org.gypsumroute.platform.DocumentYamlCodec
+import org.gypsumroute.clients.DocumentYamlCodec
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
 
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/ClientFailure.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/ClientFailure.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 /**
  * Why a call to a part of the platform failed. [reached] is false only if no byte of the request
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/ConfigurationClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/ConfigurationClient.kt
@@ -1,7 +1,7 @@
 /*
  * Client of the configuration service, which can only be read and watched.
  */
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import arrow.core.Either
 import arrow.core.flatMap
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/DocumentSections.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/DocumentSections.kt
@@ -1,7 +1,7 @@
 /*
  * The YAML form of a service document, field by field; `docs/service-document.md` describes it.
  */
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/DocumentYamlCodec.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/DocumentYamlCodec.kt
@@ -1,7 +1,7 @@
 /*
  * Service documents in YAML. Acceptance is a pure function of the bytes.
  */
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import arrow.core.Either
 import arrow.core.left
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/EngineClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/EngineClient.kt
@@ -2,7 +2,7 @@
  * Client of a model engine. It decides nothing: no call is repeated, and each outcome goes to
  * the caller.
  */
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import arrow.core.Either
 import arrow.core.flatMap
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/EngineJson.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/EngineJson.kt
@@ -2,7 +2,7 @@
  * JSON of the engine protocol, as `docs/platform-protocols.md` lays it down. Unknown fields are
  * ignored, so that engines may say more.
  */
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import arrow.core.Either
 import arrow.core.left
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/EngineStream.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/EngineStream.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 /** A call that delivers a stream's events. */
 fun interface EngineStream {
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/HostListClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/HostListClient.kt
@@ -1,7 +1,7 @@
 /*
  * Client of the host list.
  */
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import arrow.core.Either
 import arrow.core.flatMap
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/HttpCalls.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/HttpCalls.kt
@@ -2,7 +2,7 @@
  * The one way in which all clients make HTTP calls: each call is sent at most once, redirects are
  * not followed, and a failure tells whether any byte of the request was written.
  */
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import arrow.core.Either
 import arrow.core.left
@@ -31,7 +31,7 @@
 import okio.BufferedSink
 
 /** An answer read to its end. */
-internal class HttpAnswer(val status: Int, val contentType: String?, val body: ByteArray) {
+class HttpAnswer(val status: Int, val contentType: String?, val body: ByteArray) {
     val text: String get() = body.decodeToString()
 }
 
@@ -41,7 +41,8 @@
     var started: Boolean = false
 }
 
-internal class HttpCalls(timeouts: HttpTimeouts, idleConnections: Int = IDLE_CONNECTIONS) {
+/** Makes calls within [timeouts] and keeps up to [idleConnections] open between them. */
+class HttpCalls(timeouts: HttpTimeouts, idleConnections: Int = IDLE_CONNECTIONS) {
     private val client = OkHttpClient.Builder()
         .retryOnConnectionFailure(false)
         .followRedirects(false)
@@ -120,7 +121,7 @@
 internal fun isSuccess(status: Int): Boolean = status in SUCCESS
 
 /** The answer, or the failure that its status stands for. */
-internal fun HttpAnswer.orRefused(): Either<ClientFailure, HttpAnswer> =
+fun HttpAnswer.orRefused(): Either<ClientFailure, HttpAnswer> =
     if (isSuccess(status)) right() else ClientFailure.Refused(status, text).left()
 
 internal fun describe(failure: IOException): String =
@@ -139,7 +140,7 @@
 }
 
 /** The URL of [path] at [address], which is a host and port. */
-internal fun urlOf(address: String, path: String): HttpUrl.Builder {
+fun urlOf(address: String, path: String): HttpUrl.Builder {
     val port = address.substringAfterLast(':').toInt()
     return HttpUrl.Builder()
         .scheme("http")
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/LongPoll.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/LongPoll.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import kotlin.time.Duration.Companion.seconds
 
--- a/gypsumroute-platform/src/main/kotlin/org/gypsumroute/platform/YamlFields.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/YamlFields.kt
@@ -4,7 +4,7 @@
  * Decoding into classes would stop at the first fault, and would not know the line of a rule's
  * fault. A faulty field yields a placeholder, so that reading goes on.
  */
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import com.charleskorn.kaml.YamlList
 import com.charleskorn.kaml.YamlMap
--- a/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/EngineClientTest.kt
+++ b/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/EngineClientTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
--- a/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/HttpCallsTest.kt
+++ b/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/HttpCallsTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import arrow.core.Either
 import java.net.InetAddress
--- a/gypsumroute-platform/src/test/kotlin/org/gypsumroute/platform/ListClientsTest.kt
+++ b/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/ListClientsTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.platform
+package org.gypsumroute.clients
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/CommonReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/CommonReducer.kt
@@ -44,7 +44,7 @@
     RuntimeEffect.SetTimer(TimerId.Heartbeat, common.timings.activeHeartbeat)
 )
 
-private fun reduceDrainRequested(common: CommonState): Step<CommonState> =
+internal fun reduceDrainRequested(common: CommonState): Step<CommonState> =
     if (common.drain != DrainPhase.SERVING) {
         common.step()
     } else {
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -0,0 +1,28 @@
+package org.gypsumroute.core
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.core.gateway.EndpointState
+import org.gypsumroute.core.gateway.ForwardRecord
+import org.gypsumroute.core.gateway.GatewayBounds
+import org.gypsumroute.core.gateway.GatewayPolicies
+import org.gypsumroute.core.gateway.PublishedState
+import org.gypsumroute.core.gateway.RetryBudget
+
+/**
+ * State of a gateway: an entry without agents, which forwards requests unchanged to endpoints that
+ * it reads from published records.
+ */
+data class GatewayState(
+    override val common: CommonState,
+    val bounds: GatewayBounds,
+    val policies: GatewayPolicies,
+    val published: PublishedState = PublishedState(),
+    val endpoints: PersistentMap<EndpointId, EndpointState> = persistentMapOf(),
+    val requests: PersistentMap<RequestId, ForwardRecord> = persistentMapOf(),
+    val retryBudgets: PersistentMap<ServiceId, RetryBudget> = persistentMapOf(),
+    val nextAttempt: Long = 1
+) : NodeState
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
@@ -0,0 +1,42 @@
+package org.gypsumroute.core.gateway
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+import org.gypsumroute.api.AttemptId
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.OrganisationId
+import org.gypsumroute.api.RequestHead
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.Route
+import org.gypsumroute.api.ServiceId
+
+/**
+ * One request that a caller waits for.
+ *
+ * [sends] counts the endpoints that it was sent to, [tried] names them. [mayHaveRun] is false only
+ * while no endpoint can have run it. [begun] tells whether the caller got a part of an answer.
+ */
+data class ForwardRecord(
+    val request: RequestId,
+    val head: RequestHead,
+    val route: Route,
+    val service: ServiceId,
+    val organisation: OrganisationId?,
+    val urgency: Int,
+    val arrivedAt: Moment,
+    val deadline: Moment,
+    val attempt: Attempt? = null,
+    val sends: Int = 0,
+    val tried: PersistentSet<EndpointId> = persistentSetOf(),
+    val mayHaveRun: Boolean = false,
+    val begun: Boolean = false
+)
+
+/** The attempt that is under way at [endpoint]; [helpers] read parts of the prompt. */
+data class Attempt(
+    val id: AttemptId,
+    val endpoint: EndpointId,
+    val helpers: List<EndpointId>,
+    val sentAt: Moment
+)
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -0,0 +1,71 @@
+/*
+ * Events as a gateway treats them.
+ */
+package org.gypsumroute.core.gateway
+
+import org.gypsumroute.api.Event
+import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.PublishedEffect
+import org.gypsumroute.api.PublishedEvent
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.DrainPhase
+import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.map
+import org.gypsumroute.core.reduceClock
+import org.gypsumroute.core.reduceDrainRequested
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+
+internal fun reduceGateway(state: GatewayState, event: Event): Step<GatewayState> = when (event) {
+    is RuntimeEvent.ClockRead -> state.onCommon { reduceClock(it, event) }
+    is RuntimeEvent.Started -> reduceGatewayStarted(state)
+    is RuntimeEvent.DrainRequested -> reduceGatewayDrain(state)
+    is RuntimeEvent.TimerFired -> reduceGatewayTimer(state, event.timer)
+    is PublishedEvent -> reducePublished(state, event).then { updateGatewayReadiness(it) }
+    is ForwardEvent -> reduceForward(state, event)
+    else -> state.step()
+}.then { finishGatewayDrain(it) }
+
+private fun reduceGatewayStarted(state: GatewayState): Step<GatewayState> = state.step(
+    logEffect(
+        LogEvent.PROCESS_STARTED,
+        "role" to state.common.node.role,
+        "incarnation" to state.common.node.incarnation,
+        "data_centre" to state.common.node.dataCentre
+    ),
+    PublishedEffect.ReadSnapshot
+)
+
+private fun reduceGatewayTimer(state: GatewayState, timer: TimerId): Step<GatewayState> =
+    when (timer) {
+        is TimerId.ForwardDeadline -> reduceForwardDeadline(state, timer.request)
+        is TimerId.PublishedRead -> readPublished(state)
+        is TimerId.EndpointReturn -> dropLapsedEndpoints(state)
+        else -> state.step()
+    }
+
+private fun reduceGatewayDrain(state: GatewayState): Step<GatewayState> =
+    state.onCommon { reduceDrainRequested(it) }
+
+/** Ready while a routing table and the endpoints are known and no stop was asked for. */
+private fun updateGatewayReadiness(state: GatewayState): Step<GatewayState> {
+    val ready = state.common.drain == DrainPhase.SERVING && state.published.table != null
+    if (ready == state.common.ready) return state.step()
+    val next = state.copy(common = state.common.copy(ready = ready))
+    val effect = RuntimeEffect.SetReady(ready)
+    return if (ready) next.step(logEffect(LogEvent.PROCESS_READY), effect) else next.step(effect)
+}
+
+/** Ends a planned stop once nothing is left to serve. */
+private fun finishGatewayDrain(state: GatewayState): Step<GatewayState> = state.step()
+
+/** Applies a step to the shared state. */
+internal inline fun GatewayState.onCommon(
+    change: (CommonState) -> Step<CommonState>
+): Step<GatewayState> = change(common).map { if (it === common) this else copy(common = it) }
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryBudget.kt
@@ -0,0 +1,48 @@
+package org.gypsumroute.core.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.gypsumroute.api.Moment
+
+/**
+ * Counts requests and repeats of one service at this gateway, second by second.
+ *
+ * The limit applies to all gateways together. Each counts its own requests in full and takes an
+ * equal share of the fixed allowance, so that no message is needed to stay within it.
+ */
+data class RetryBudget(private val seconds: PersistentList<Count> = persistentListOf()) {
+    /** Requests and repeats that arrived in the second that begins at [from]. */
+    data class Count(val from: Moment, val requests: Int, val repeats: Int)
+
+    /** Notes one request of a caller. */
+    fun withRequest(now: Moment): RetryBudget = add(now, requests = 1, repeats = 0)
+
+    /** Notes that a request was sent once more. */
+    fun withRepeat(now: Moment): RetryBudget = add(now, requests = 0, repeats = 1)
+
+    /** Whether one more repeat stays within the limit over [window]. */
+    fun allows(now: Moment, window: Duration, ratio: Double, allowance: Double): Boolean {
+        val recent = seconds.filter { now - it.from <= window + 1.seconds }
+        return recent.sumOf { it.repeats } + 1 <=
+            ratio * recent.sumOf { it.requests } + allowance
+    }
+
+    private fun add(now: Moment, requests: Int, repeats: Int): RetryBudget {
+        val last = seconds.lastOrNull()
+        if (last != null && now - last.from < 1.seconds) {
+            val next = last.copy(
+                requests = last.requests + requests,
+                repeats = last.repeats + repeats
+            )
+            return RetryBudget(seconds.set(seconds.size - 1, next))
+        }
+        val kept = if (seconds.size < LONGEST_WINDOW_SECONDS) seconds else seconds.removeAt(0)
+        return RetryBudget(kept.add(Count(now, requests, repeats)))
+    }
+
+    private companion object {
+        const val LONGEST_WINDOW_SECONDS = 64
+    }
+}
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RouteIndex.kt
@@ -0,0 +1,31 @@
+package org.gypsumroute.core.gateway
+
+import org.gypsumroute.api.OrganisationKeys
+import org.gypsumroute.api.Route
+import org.gypsumroute.api.RoutingTable
+
+/** A routing table arranged for lookups by host name and path, and by key. */
+class RouteIndex private constructor(
+    private val byHostName: Map<String, List<Route>>,
+    private val byKeyDigest: Map<String, OrganisationKeys>
+) {
+    /** The route with the longest prefix of [path] among those of [hostName], or null. */
+    fun find(hostName: String, path: String): Route? =
+        byHostName[hostName.lowercase()]?.firstOrNull { path.startsWith(it.prefix) }
+
+    /** The organisation that holds the key with this digest, or null. */
+    fun organisation(keyDigest: String): OrganisationKeys? = byKeyDigest[keyDigest]
+
+    companion object {
+        val EMPTY = RouteIndex(emptyMap(), emptyMap())
+
+        /** Arranges [table]. */
+        fun of(table: RoutingTable): RouteIndex = RouteIndex(
+            byHostName = table.routes.groupBy { it.hostName.lowercase() }
+                .mapValues { (_, routes) -> routes.sortedByDescending { it.prefix.length } },
+            byKeyDigest = table.organisations.orEmpty()
+                .flatMap { holder -> holder.keyDigests.map { it to holder } }
+                .toMap()
+        )
+    }
+}
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallerHeaders.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallerHeaders.kt
@@ -7,13 +7,13 @@
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.contentLength
 import io.ktor.server.request.header
-import java.security.MessageDigest
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.ActionKey
 import org.gypsumroute.api.Bytes
 import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.process.keyDigest
 
 /** The headers that every route reads. [keyDigest] is empty if the caller sent no bearer key. */
 internal class CallerHeaders(
@@ -29,7 +29,7 @@
         parseTimeout(text) ?: return ErrorKind.DEADLINE_INVALID.left()
     }
     return CallerHeaders(
-        keyDigest = bearerKey(call)?.let(::sha256).orEmpty(),
+        keyDigest = bearerKey(call)?.let(::keyDigest).orEmpty(),
         timeout = timeout,
         declaredBytes = Bytes(call.request.contentLength() ?: 0),
         actionKey = call.request.header(ACTION_KEY_HEADER)?.let { ActionKey(it) }
@@ -56,10 +56,6 @@
     ?.takeIf { it.isFinite() && it > 0 && it <= LONGEST_TIMEOUT.inWholeSeconds }
     ?.seconds
 
-private fun sha256(key: String): String = MessageDigest.getInstance("SHA-256")
-    .digest(key.encodeToByteArray())
-    .joinToString("") { byte -> "%02x".format(byte) }
-
 internal const val TIMEOUT_HEADER = "X-Request-Timeout"
 internal const val ACTION_KEY_HEADER = "Idempotency-Key"
 internal const val REQUEST_ID_HEADER = "X-Request-Id"
--- /dev/null
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerServer.kt
@@ -0,0 +1,56 @@
+package org.gypsumroute.gateway
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpServerCodec
+import java.net.InetSocketAddress
+
+/** The callers' port. */
+internal class CallerServer(private val loop: EventLoopGroup, private val traffic: ForwardTraffic) {
+    private var listener: Channel? = null
+
+    /** Listens and returns the address in use. Throws if the port is in use. */
+    fun start(address: InetSocketAddress): InetSocketAddress {
+        val bootstrap = ServerBootstrap().group(loop)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) = addHandlers(channel)
+                }
+            )
+        val bound = bootstrap.bind(address).syncUninterruptibly().channel()
+        listener = bound
+        return bound.localAddress() as InetSocketAddress
+    }
+
+    /** Takes no further connections. */
+    fun stopAccepting() {
+        listener?.close()
+    }
+
+    private fun addHandlers(channel: SocketChannel) {
+        val largestHeaders = traffic.limits.headerBytes
+        channel.pipeline().addLast(
+            FirstByteHandler,
+            HttpServerCodec(
+                HttpDecoderConfig()
+                    .setMaxInitialLineLength(largestHeaders)
+                    .setMaxHeaderSize(largestHeaders)
+            ),
+            CallerConnection(traffic)
+        )
+    }
+
+    private companion object {
+        const val BACKLOG = 1024
+    }
+}
--- /dev/null
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnections.kt
@@ -0,0 +1,86 @@
+/*
+ * Connections to endpoints. Idle ones are kept for the next request and closed before the endpoint
+ * would close them.
+ */
+package org.gypsumroute.gateway
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpRequestEncoder
+import java.net.InetSocketAddress
+import jdk.net.ExtendedSocketOptions
+import kotlin.time.Duration
+import org.gypsumroute.api.EndpointAddress
+
+/** Opens and keeps connections. All functions are called on the traffic event loop. */
+internal class EndpointConnections(loop: EventLoopGroup, private val codec: ForwardCodec) {
+    private val idle = HashMap<EndpointAddress, ArrayDeque<EndpointConnection>>()
+    private val bootstrap = Bootstrap().group(loop)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLISECONDS)
+
+    /** A connection that was idle for less than [longestIdle], the freshest first, or null. */
+    fun takeIdle(address: EndpointAddress, longestIdle: Duration): EndpointConnection? {
+        val kept = idle[address] ?: return null
+        while (true) {
+            val connection = kept.removeLastOrNull() ?: return null
+            if (connection.isUsable && connection.idleTime < longestIdle) return connection
+            connection.close()
+        }
+    }
+
+    /** Opens a connection and hands it, or the reason why there is none, to [handle]. */
+    fun open(address: EndpointAddress, handle: (EndpointConnection?, String) -> Unit) {
+        val connection = EndpointConnection(address, codec, this)
+        val opening: ChannelFuture = bootstrap.clone()
+            .handler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        channel.pipeline()
+                            .addLast(HttpRequestEncoder(), AnswerDecoder(connection), connection)
+                    }
+                }
+            )
+            .connect(InetSocketAddress(address.host, address.port))
+        opening.addListener {
+            if (it.isSuccess) {
+                handle(connection, "")
+            } else {
+                handle(null, "connect: ${it.cause().javaClass.simpleName}")
+            }
+        }
+    }
+
+    /** Keeps a connection for the next request. */
+    fun keep(connection: EndpointConnection) {
+        idle.getOrPut(connection.address) { ArrayDeque() }.addLast(connection)
+    }
+
+    /** Forgets a connection that closed. */
+    fun forget(connection: EndpointConnection) {
+        idle[connection.address]?.remove(connection)
+    }
+
+    /** Closes the idle connections to an endpoint. */
+    fun closeIdle(address: EndpointAddress) {
+        idle.remove(address)?.forEach { it.close() }
+    }
+
+    private companion object {
+        /** Notices a connection that went silent within about three seconds. */
+        const val KEEP_ALIVE_SECONDS = 1
+        const val KEEP_ALIVE_PROBES = 2
+        const val CONNECT_MILLISECONDS = 300
+    }
+}
--- /dev/null
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
@@ -0,0 +1,73 @@
+/*
+ * Splits a stream of server-sent events at their ends, so that a stream that breaks inside an event
+ * can go on elsewhere after the last complete one.
+ */
+package org.gypsumroute.gateway
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+
+/** Takes a stream's bytes and gives back complete events. */
+internal class EventSplitter {
+    private var pending: ByteBuf = Unpooled.buffer(INITIAL_BYTES)
+
+    /** The id of the last complete event, as it stands in the stream. */
+    var lastEventId: String? = null
+        private set
+
+    /** Whether bytes of an incomplete event are held. */
+    val holdsPart: Boolean get() = pending.isReadable
+
+    /** Bytes held of an incomplete event. */
+    val heldBytes: Int get() = pending.readableBytes()
+
+    /** Adds bytes and returns all events that are complete now, or null. The caller releases it. */
+    fun add(bytes: ByteBuf): ByteBuf? {
+        pending.writeBytes(bytes)
+        val end = endOfLastEvent()
+        if (end < 0) return null
+        val complete = pending.readRetainedSlice(end - pending.readerIndex())
+        noteLastId(complete)
+        val rest = Unpooled.buffer(maxOf(INITIAL_BYTES, pending.readableBytes()))
+        rest.writeBytes(pending)
+        pending.release()
+        pending = rest
+        return complete
+    }
+
+    /** Frees what is held. */
+    fun release() {
+        pending.release()
+        pending = Unpooled.EMPTY_BUFFER
+    }
+
+    /** The index after the last blank line, or -1. */
+    private fun endOfLastEvent(): Int {
+        var index = pending.writerIndex() - 1
+        while (index > pending.readerIndex()) {
+            if (pending.getByte(index) == LINE_FEED && endsBlankLine(index)) return index + 1
+            index--
+        }
+        return -1
+    }
+
+    private fun endsBlankLine(index: Int): Boolean {
+        val before = pending.getByte(index - 1)
+        if (before == LINE_FEED) return true
+        return before == CARRIAGE_RETURN && index - 2 >= pending.readerIndex() &&
+            pending.getByte(index - 2) == LINE_FEED
+    }
+
+    private fun noteLastId(events: ByteBuf) {
+        val text = events.toString(Charsets.UTF_8)
+        val line = text.lineSequence().lastOrNull { it.startsWith(ID_FIELD) } ?: return
+        lastEventId = line.removePrefix(ID_FIELD).removePrefix(" ")
+    }
+
+    private companion object {
+        const val INITIAL_BYTES = 512
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID_FIELD = "id:"
+    }
+}
--- /dev/null
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardExchange.kt
@@ -0,0 +1,44 @@
+package org.gypsumroute.gateway
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpVersion
+import org.gypsumroute.api.RequestHead
+import org.gypsumroute.api.RequestId
+
+/**
+ * A caller's request while it is served. [body] stays until the end, since a later attempt sends it
+ * again. [hadBody] tells whether a length goes with it.
+ */
+internal class ForwardExchange(
+    val request: RequestId,
+    val caller: CallerConnection,
+    val line: RequestLine,
+    val version: HttpVersion,
+    val head: RequestHead,
+    val headers: HttpHeaders,
+    val body: ByteBuf,
+    val hadBody: Boolean
+) {
+    /** The attempt under way. */
+    var attempt: EndpointAttempt? = null
+
+    /** A failure answer of an endpoint that may be passed on. */
+    var held: HeldAnswer? = null
+
+    /** Whether the answer to the caller has begun. */
+    var begun = false
+
+    /** The last event of a stream that was passed on. */
+    var lastEventId: String? = null
+
+    /** Frees the bodies. */
+    fun release() {
+        body.release()
+        held?.body?.release()
+        held = null
+    }
+}
+
+/** An answer that is complete and not passed on yet. */
+internal class HeldAnswer(val status: Int, val headers: HttpHeaders, val body: ByteBuf)
--- /dev/null
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewaySettings.kt
@@ -0,0 +1,23 @@
+package org.gypsumroute.gateway
+
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.RegionId
+import org.gypsumroute.core.gateway.GatewayBounds
+import org.gypsumroute.runtime.LogFormat
+
+/** Settings of a gateway process. */
+data class GatewaySettings(
+    val host: HostId,
+    val region: RegionId,
+    val dataCentre: DataCentreId,
+    val callersAddress: InetSocketAddress,
+    val readyAddress: InetSocketAddress?,
+    val metricsAddress: InetSocketAddress?,
+    val readyPath: String,
+    val bounds: GatewayBounds,
+    val drainLimit: Duration,
+    val logFormat: LogFormat
+)
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
@@ -11,12 +11,12 @@
 import org.gypsumroute.api.DocumentReading
 import org.gypsumroute.api.PlatformEffect
 import org.gypsumroute.api.PlatformEvent
-import org.gypsumroute.platform.ClientFailure
-import org.gypsumroute.platform.ConfigurationClient
-import org.gypsumroute.platform.ConfigurationListing
-import org.gypsumroute.platform.DocumentYamlCodec
-import org.gypsumroute.platform.HostListClient
-import org.gypsumroute.platform.HostListing
+import org.gypsumroute.clients.ClientFailure
+import org.gypsumroute.clients.ConfigurationClient
+import org.gypsumroute.clients.ConfigurationListing
+import org.gypsumroute.clients.DocumentYamlCodec
+import org.gypsumroute.clients.HostListClient
+import org.gypsumroute.clients.HostListing
 import org.gypsumroute.runtime.EventSink
 
 /** Carries out platform effects; each kind has one call at a time. */
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/ControlThread.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/ControlThread.kt
@@ -12,11 +12,13 @@
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.EngineEffect
 import org.gypsumroute.api.Event
+import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.LogField
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.PeerEffect
 import org.gypsumroute.api.PlatformEffect
+import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.Step
@@ -114,6 +116,8 @@
         is PeerEffect -> handlers.peer(effect)
         is CallerEffect -> handlers.caller(effect)
         is EngineEffect -> handlers.engine(effect)
+        is PublishedEffect -> handlers.published(effect)
+        is ForwardEffect -> handlers.forward(effect)
     }
 
     private fun carryOutOwn(effect: RuntimeEffect) = when (effect) {
--- a/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/ControlThreadTest.kt
+++ b/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/ControlThreadTest.kt
@@ -45,7 +45,11 @@
         var entropy = 0L
         return ControlThread(
             initial = initialState,
-            handlers = EffectHandlers({ error("broken handler") }, {}, {}, {}, { ready += it }, {}),
+            handlers = EffectHandlers(
+                setReady = { ready += it },
+                exit = {},
+                platform = { error("broken handler") }
+            ),
             timeSource = testTimeSource,
             entropy = { ++entropy },
             timerScope = backgroundScope,
