Place prompts by predicted loss and exchange loads between gateways

Change: a model of an engine's passes from its published figures; each choice of engines (also of several that read a prompt together) is priced by the credit it is likely to cost. Short prompts fill engines in an order that all gateways share, long ones start from its other end. Gateways report their work to each other in datagrams and find each other through seeds.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/AttemptOutcome.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/AttemptOutcome.kt
@@ -1,9 +1,11 @@
 package org.gypsumroute.api
 
+import kotlin.time.Duration
+
 /** How an attempt to serve a request at an endpoint ended. */
 sealed interface AttemptOutcome {
-    /** The whole answer was passed on. */
-    data class Completed(val status: Int) : AttemptOutcome
+    /** The whole answer was passed on; [longestPause] was the longest between parts of it. */
+    data class Completed(val status: Int, val longestPause: Duration) : AttemptOutcome
 
     /** The endpoint ran the request and answered with a failure, which is held for the caller. */
     data class Failed(val status: Int) : AttemptOutcome
--- /dev/null
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Stake.kt
@@ -0,0 +1,6 @@
+package org.gypsumroute.api
+
+import kotlin.time.Duration
+
+/** Streams worth [value] bear pauses up to [gap]. */
+data class Stake(val gap: Duration, val value: Double)
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
@@ -41,6 +41,15 @@
     /** Next read of the published records after a failure. */
     data object PublishedRead : TimerId
 
+    /** End of the time in which a balancer notices a planned stop. */
+    data object DrainSettled : TimerId
+
+    /** Next report to the other gateways, if nothing changes before. */
+    data object ReportBeat : TimerId
+
+    /** Next report to the other gateways while work changes. */
+    data object ReportChange : TimerId
+
     /** End of the time in which lapsed endpoint records may return. */
     data object EndpointReturn : TimerId
 }
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/Main.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/Main.kt
@@ -19,7 +19,7 @@
 
 /** Starts the command line; settings with faults end it with exit code 2. */
 fun main(arguments: Array<String>) {
-    val command = gypsumrouteCommand()
+    val command = gypsumrouteCommand(arguments.firstOrNull())
     val code = try {
         command.parse(arguments)
         0
@@ -30,14 +30,24 @@
     exitProcess(code)
 }
 
-internal fun gypsumrouteCommand(): GypsumrouteCommand = GypsumrouteCommand().subcommands(
-    EntryCommand(),
-    AgentCommand(),
-    GatewayCommand(),
-    CheckCommand(),
-    StatusCommand(),
-    BurnCommand(),
-    LoadCommand()
+/**
+ * The command with its subcommands, or with the [named] one only: building the options of all of
+ * them takes a good part of a process's start.
+ */
+internal fun gypsumrouteCommand(named: String? = null): GypsumrouteCommand {
+    val build = subcommands[named]
+    val built = if (build == null) subcommands.values.map { it() } else listOf(build())
+    return GypsumrouteCommand().subcommands(built)
+}
+
+private val subcommands: Map<String, () -> CliktCommand> = mapOf(
+    "entry" to { EntryCommand() },
+    "agent" to { AgentCommand() },
+    "gateway" to { GatewayCommand() },
+    "check" to { CheckCommand() },
+    "status" to { StatusCommand() },
+    "burn" to { BurnCommand() },
+    "load" to { LoadCommand() }
 )
 
 internal fun exitCodeOf(error: CliktError): Int =
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/NodeClient.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/NodeClient.kt
@@ -19,11 +19,14 @@
 
 /** Reads over HTTP; a node that takes longer than 5 s counts as not reached. */
 internal class NodeClient {
-    private val http = OkHttpClient.Builder()
-        .retryOnConnectionFailure(false)
-        .followRedirects(false)
-        .callTimeout(LONGEST_CALL)
-        .build()
+    /** Built on first use, since every start of the program builds all commands. */
+    private val http by lazy {
+        OkHttpClient.Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .callTimeout(LONGEST_CALL)
+            .build()
+    }
 
     /** The page at [path] of [node], or why it could not be read. */
     fun read(node: String, path: String): Either<String, NodePage> = try {
--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/HttpCalls.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/HttpCalls.kt
@@ -17,6 +17,7 @@
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.ConnectionPool
+import okhttp3.ConnectionSpec
 import okhttp3.Dispatcher
 import okhttp3.EventListener
 import okhttp3.HttpUrl
@@ -50,6 +51,8 @@
         .fastFallback(false)
         .proxy(Proxy.NO_PROXY)
         .protocols(listOf(Protocol.HTTP_1_1))
+        // Without TLS among them, the client does not load the trust store, which takes 0.2 s.
+        .connectionSpecs(listOf(ConnectionSpec.CLEARTEXT))
         .connectTimeout(timeouts.connect.toJavaDuration())
         .readTimeout(timeouts.read.toJavaDuration())
         .writeTimeout(timeouts.write.toJavaDuration())
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -6,6 +6,7 @@
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.core.gateway.EndpointState
+import org.gypsumroute.core.gateway.ExchangeState
 import org.gypsumroute.core.gateway.ForwardRecord
 import org.gypsumroute.core.gateway.GatewayBounds
 import org.gypsumroute.core.gateway.GatewayPolicies
@@ -14,15 +15,18 @@
 
 /**
  * State of a gateway: an entry without agents, which forwards requests unchanged to endpoints that
- * it reads from published records.
+ * it reads from published records. [drainSettled] tells that the balancer had time to notice a
+ * planned stop.
  */
 data class GatewayState(
     override val common: CommonState,
     val bounds: GatewayBounds,
     val policies: GatewayPolicies,
+    val exchange: ExchangeState,
     val published: PublishedState = PublishedState(),
     val endpoints: PersistentMap<EndpointId, EndpointState> = persistentMapOf(),
     val requests: PersistentMap<RequestId, ForwardRecord> = persistentMapOf(),
     val retryBudgets: PersistentMap<ServiceId, RetryBudget> = persistentMapOf(),
-    val nextAttempt: Long = 1
+    val nextAttempt: Long = 1,
+    val drainSettled: Boolean = false
 ) : NodeState
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
@@ -4,9 +4,10 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.gypsumroute.api.EndpointRecord
+import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.RequestId
-import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.Stake
 
 /**
  * One published endpoint and this gateway's work there. Cold until [coldUntil].
@@ -17,16 +18,51 @@
     val work: PersistentMap<RequestId, EndpointWork> = persistentMapOf(),
     val health: EndpointHealth = EndpointHealth(),
     val coldSends: SendWindow = SendWindow()
-)
+) {
+    /** The prompt of a request was read: its helpers are done and its endpoint writes. */
+    fun afterReading(request: RequestId): EndpointState {
+        val read = work[request] ?: return this
+        val left = if (read.helping) {
+            work.remove(request)
+        } else {
+            work.put(request, read.copy(writing = true))
+        }
+        return copy(work = left)
+    }
+
+    /** The load that this gateway put there. */
+    fun load(now: Moment): EngineLoad {
+        if (work.isEmpty()) return EngineLoad()
+        val items = work.values.sortedBy { it.sentAt }
+        var readEnd = now
+        var begin = Moment.START
+        for (item in items) {
+            if (item.writing) continue
+            begin = maxOf(begin, item.sentAt) + item.readTime
+            readEnd = maxOf(readEnd, begin)
+        }
+        val running = items.filterNot { it.helping }
+        return EngineLoad(
+            open = running.size,
+            writers = running.count { it.writing },
+            pendingRead = readEnd - now,
+            context = running.sumOf { it.context },
+            stakes = EngineLoad.merged(running.map { Stake(it.gap, it.value) })
+        )
+    }
+}
 
 /**
- * A request's part of the work at one endpoint. [readTime] is what the endpoint still had to read
- * when the work was sent at [sentAt]; a helper only reads. [context] is held until the end.
+ * A request's part of the work at one endpoint. [readTime] is what the endpoint had to read for it
+ * when the work was sent at [sentAt]; a helper only reads. [context] tokens are held until the
+ * end. The stream is worth [value] if no pause is longer than [gap].
  */
 data class EndpointWork(
     val sentAt: Moment,
     val readTime: Duration,
-    val context: Tokens,
-    val helping: Boolean,
-    val writing: Boolean
+    val context: Long,
+    val gap: Duration,
+    val value: Double,
+    val helping: Boolean = false,
+    val writing: Boolean = false
 )
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -0,0 +1,156 @@
+/*
+ * The exchange between gateways: each tells all others its work at endpoints, so that placements
+ * count the work of all. Reports are whole, small and may be lost; nothing waits for one.
+ */
+package org.gypsumroute.core.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EngineLoad
+import org.gypsumroute.api.ExchangeEffect
+import org.gypsumroute.api.ExchangeEvent
+import org.gypsumroute.api.GatewayReport
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
+
+internal fun reduceExchange(state: GatewayState, event: ExchangeEvent): Step<GatewayState> =
+    when (event) {
+        is ExchangeEvent.ReportReceived -> reduceReport(state, event.from, event.report)
+    }
+
+private fun reduceReport(
+    state: GatewayState,
+    from: EndpointAddress,
+    report: GatewayReport
+): Step<GatewayState> {
+    val exchange = state.exchange
+    val known = exchange.members[from]
+    val outdated = known != null && known.report.incarnation == report.incarnation &&
+        known.report.sequence >= report.sequence
+    if (from == exchange.own || outdated) return state.step()
+    val now = state.common.now
+    val named = report.members.filter {
+        it != exchange.own && it != from && it !in exchange.members && it !in exchange.candidates
+    }
+    val next = exchange.copy(
+        members = exchange.members.put(from, Member(report, now)),
+        candidates = exchange.candidates.remove(from).putAll(named.associateWith { now })
+    )
+    val changed = state.copy(exchange = next)
+    return if (known != null) {
+        changed.step()
+    } else {
+        changed.step(
+            logEffect(
+                LogEvent.MEMBER_JOINED,
+                "member" to report.host,
+                "address" to from,
+                "incarnation" to report.incarnation,
+                "members" to next.members.size
+            )
+        ).then { sendReport(it) }
+    }
+}
+
+/** The regular report, which also finds gateways that were not heard yet. */
+internal fun reduceReportBeat(state: GatewayState): Step<GatewayState> = dropSilentMembers(state)
+    .then { sendReport(it) }
+    .then { it.step(RuntimeEffect.SetTimer(TimerId.ReportBeat, BEAT)) }
+
+internal fun reduceReportChange(state: GatewayState): Step<GatewayState> =
+    sendReport(state.copy(exchange = state.exchange.copy(changeTimerSet = false)))
+
+/** Reports changed work soon, but not more often than the number of gateways allows. */
+internal fun spreadChanges(before: GatewayState, state: GatewayState): Step<GatewayState> {
+    val exchange = state.exchange
+    val changed = exchange.changed || before.endpoints !== state.endpoints
+    if (!changed || exchange.members.isEmpty()) return state.step()
+    if (exchange.changeTimerSet) return state.step()
+    val wait = exchange.lastSent + intervalFor(exchange.members.size) - state.common.now
+    return if (wait <= Duration.ZERO) {
+        sendReport(state)
+    } else {
+        state.copy(exchange = exchange.copy(changed = true, changeTimerSet = true))
+            .step(RuntimeEffect.SetTimer(TimerId.ReportChange, wait))
+    }
+}
+
+/** The latest known work of the other gateways at each endpoint. */
+internal fun loadsOfOthers(state: GatewayState): List<Pair<Duration, GatewayReport>> =
+    state.exchange.members.values
+        .map { state.common.now - it.heardAt to it.report }
+        .filter { (age, _) -> age < LOAD_VALID }
+
+/** The gateways that share the limits of the deployment, this one included. */
+internal val GatewayState.gateways: Int
+    get() = maxOf(exchange.members.size + 1, exchange.seeds.size + 1)
+
+private fun sendReport(state: GatewayState): Step<GatewayState> {
+    val exchange = state.exchange
+    val now = state.common.now
+    val targets = exchange.members.keys + exchange.candidates.keys + exchange.seeds - exchange.own
+    val next = exchange.copy(sequence = exchange.sequence + 1, lastSent = now, changed = false)
+    val report = GatewayReport(
+        host = state.common.node.host,
+        incarnation = state.common.node.incarnation,
+        sequence = next.sequence,
+        revision = state.published.revision,
+        storeAnswers = state.published.storeAnswers,
+        loads = ownLoads(state, now),
+        members = exchange.members.filterValues { now - it.heardAt < HEARD_LATELY }.keys.toList()
+    )
+    return state.copy(exchange = next)
+        .step(ExchangeEffect.SendReport(targets.toList(), report))
+}
+
+private fun ownLoads(state: GatewayState, now: Moment) = buildMap {
+    for ((id, endpoint) in state.endpoints) {
+        val load: EngineLoad = endpoint.load(now)
+        if (endpoint.work.isNotEmpty()) put(id, load)
+    }
+}
+
+private fun dropSilentMembers(state: GatewayState): Step<GatewayState> {
+    val now = state.common.now
+    val silent = state.exchange.members.filterValues { now - it.heardAt > MEMBER_VALID }
+    val stale = state.exchange.candidates.filterValues { now - it > CANDIDATE_VALID }
+    if (silent.isEmpty() && stale.isEmpty()) return state.step()
+    val candidates = state.exchange.candidates.builder().apply { keys.removeAll(stale.keys) }
+    val trimmed = state.exchange.copy(candidates = candidates.build())
+    return state.copy(exchange = trimmed).step()
+        .thenEach(silent.entries) { next, (address, member) ->
+            val members = next.exchange.members.remove(address)
+            next.copy(exchange = next.exchange.copy(members = members)).step(
+                logEffect(
+                    LogEvent.MEMBER_LOST,
+                    "member" to member.report.host,
+                    "address" to address,
+                    "silent" to (now - member.heardAt)
+                )
+            )
+        }
+}
+
+/** Shortest time between reports, so that a gateway takes in a bounded number of them. */
+private fun intervalFor(members: Int): Duration = PER_MEMBER * members
+
+private val BEAT: Duration = 500.milliseconds
+private val PER_MEMBER: Duration = 10.milliseconds
+
+/** Work in an older report is likely over. */
+private val LOAD_VALID: Duration = 1500.milliseconds
+private val HEARD_LATELY: Duration = 2.seconds
+private val CANDIDATE_VALID: Duration = 5.seconds
+
+/** A gateway that is silent for a while still counts for shared limits. */
+private val MEMBER_VALID: Duration = 15.seconds
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeState.kt
@@ -0,0 +1,27 @@
+package org.gypsumroute.core.gateway
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.GatewayReport
+import org.gypsumroute.api.Moment
+
+/**
+ * What this gateway knows of the others.
+ *
+ * [seeds] are addresses from the settings, [candidates] those that others named but that were not
+ * heard yet, with the time of naming. [changed] tells that own work changed since the last report.
+ */
+data class ExchangeState(
+    val own: EndpointAddress,
+    val seeds: List<EndpointAddress>,
+    val members: PersistentMap<EndpointAddress, Member> = persistentMapOf(),
+    val candidates: PersistentMap<EndpointAddress, Moment> = persistentMapOf(),
+    val sequence: Long = 0,
+    val lastSent: Moment = Moment.START,
+    val changed: Boolean = false,
+    val changeTimerSet: Boolean = false
+)
+
+/** Another gateway and its latest report. */
+data class Member(val report: GatewayReport, val heardAt: Moment)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardPlacements.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardPlacements.kt
@@ -4,20 +4,34 @@
 package org.gypsumroute.core.gateway
 
 import kotlin.time.Duration
+import org.gypsumroute.core.stableHash
 
 /** Placement functions for [GatewayPolicies.placement]. */
 object ForwardPlacements {
-    /** The endpoint with the fewest open requests of this gateway, its own data centre first. */
+    /** By predicted loss at engines, and by open requests at plain services. */
+    val leastLoss: ForwardPlacement = { question ->
+        if (question.figures == null) leastOpen(question) else placeAtEngines(question)
+    }
+
+    /**
+     * The endpoint with the smallest share of its slots in use, where one that failed lately counts
+     * as fuller; its own data centre first.
+     */
     val leastOpen: ForwardPlacement = { question ->
-        question.candidates.minWithOrNull(
-            compareBy(
-                { it.failureShare > LARGEST_FAILURE_SHARE },
-                { it.state.work.size },
-                { it.state.record.dataCentre.value != question.ownDataCentre },
-                { it.state.record.id.value.hashCode() xor question.entropy.toInt() }
-            )
-        )?.let { ForwardChoice(it.state.record.id, emptyList(), Duration.ZERO, Duration.ZERO) }
+        question.candidates.minByOrNull { candidate ->
+            val record = candidate.record
+            val away = if (record.dataCentre == question.ownDataCentre) 0.0 else AWAY
+            val tie = Math.floorMod(stableHash(record.id.value) xor question.entropy, TIES)
+            (candidate.load.open + tie * TIE_WEIGHT) / record.slots.coerceAtLeast(1) + away +
+                candidate.failureShare * FAILURE_WEIGHT
+        }?.let { ForwardChoice(it.record.id, emptyList(), Duration.ZERO, Duration.ZERO) }
     }
 
-    private const val LARGEST_FAILURE_SHARE = 0.5
+    /** Share of slots that a call to another data centre is worth. */
+    private const val AWAY = 0.1
+
+    /** Share of slots that an endpoint which fails always counts as fuller. */
+    private const val FAILURE_WEIGHT = 3.0
+    private const val TIES = 1024L
+    private const val TIE_WEIGHT = 0.5 / TIES
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
@@ -1,5 +1,6 @@
 package org.gypsumroute.core.gateway
 
+import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
 import org.gypsumroute.api.AttemptId
@@ -24,14 +25,19 @@
     val service: ServiceId,
     val organisation: OrganisationId?,
     val urgency: Int,
+    val size: RequestSize,
     val arrivedAt: Moment,
     val deadline: Moment,
     val attempt: Attempt? = null,
     val sends: Int = 0,
     val tried: PersistentSet<EndpointId> = persistentSetOf(),
     val mayHaveRun: Boolean = false,
-    val begun: Boolean = false
-)
+    val begun: Boolean = false,
+    val begunAt: Moment? = null
+) {
+    /** The longest pause that the stream bears; a whole answer bears any. */
+    val gap: Duration get() = route.gapObjective ?: Duration.INFINITE
+}
 
 /** The attempt that is under way at [endpoint]; [helpers] read parts of the prompt. */
 data class Attempt(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
@@ -9,6 +9,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentMap
 import org.gypsumroute.api.AttemptId
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.EndpointAddress
@@ -29,7 +30,6 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
-import org.gypsumroute.api.Tokens
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.mixBits
@@ -92,18 +92,23 @@
 ): ForwardRecord {
     val now = state.common.now
     val wait = minOf(event.head.deadline ?: route.timeout, route.timeout)
+    val service = chooseService(route, state.common.entropy)
     return ForwardRecord(
         request = event.request,
         head = event.head,
         route = route,
-        service = chooseService(route, state.common.entropy),
+        service = service,
         organisation = organisation?.organisation,
         urgency = organisation?.priority ?: route.priority,
+        size = RequestSize.of(event.head, usualOutput(state, service)),
         arrivedAt = now,
         deadline = now + wait
     )
 }
 
+private fun usualOutput(state: GatewayState, service: ServiceId): Long =
+    state.published.table?.services?.get(service)?.engine?.usualAnswer?.count ?: 0
+
 /** Picks a service in proportion to the weights. */
 internal fun chooseService(route: Route, entropy: Long): ServiceId {
     val total = route.shares.sumOf { it.weight }
@@ -145,14 +150,25 @@
     return send(state, record, choice)
 }
 
-private fun questionFor(state: GatewayState, record: ForwardRecord) = ForwardQuestion(
-    record = record,
-    candidates = state.endpoints.values
-        .filter { mayTake(state, record, it) }
-        .map { ForwardCandidate(it, it.health.failureShare(state.common.now)) },
-    ownDataCentre = state.common.node.dataCentre.value,
-    entropy = state.common.entropy
-)
+private fun questionFor(state: GatewayState, record: ForwardRecord): ForwardQuestion {
+    val now = state.common.now
+    val others = loadsOfOthers(state)
+    return ForwardQuestion(
+        candidates = state.endpoints.values.filter { mayTake(state, record, it) }.map { endpoint ->
+            val load = others.fold(endpoint.load(now)) { sum, (age, report) ->
+                report.loads[endpoint.record.id]?.let { sum + it.after(age) } ?: sum
+            }
+            ForwardCandidate(endpoint.record, load, endpoint.health.failureShare(now))
+        },
+        figures = state.published.table?.services?.get(record.service)?.engine,
+        size = record.size,
+        objective = record.arrivedAt + record.route.objective - now,
+        remaining = record.deadline - now,
+        gap = record.gap,
+        ownDataCentre = state.common.node.dataCentre,
+        entropy = state.common.entropy
+    )
+}
 
 private fun mayTake(state: GatewayState, record: ForwardRecord, endpoint: EndpointState): Boolean =
     endpoint.record.service == record.service && !endpoint.record.leaving &&
@@ -186,20 +202,10 @@
         val budget = state.retryBudgets[record.service] ?: RetryBudget()
         state.retryBudgets.put(record.service, budget.withRepeat(now))
     }
-    val work = EndpointWork(
-        sentAt = now,
-        readTime = choice.readTime,
-        context = record.head.promptTokens ?: Tokens.ZERO,
-        helping = false,
-        writing = false
-    )
-    val busy = endpoint.copy(
-        work = endpoint.work.put(record.request, work),
-        coldSends = endpoint.coldSends.with(now)
-    )
+    val endpoints = withWork(state, record, choice)
     return state.copy(
         requests = state.requests.put(record.request, sent),
-        endpoints = state.endpoints.put(choice.endpoint, busy),
+        endpoints = endpoints,
         retryBudgets = budgets,
         nextAttempt = state.nextAttempt + 1
     ).step(
@@ -211,6 +217,7 @@
             "version" to state.published.table?.version,
             "endpoint" to choice.endpoint,
             "address" to endpoint.record.address,
+            "helpers" to choice.helpers.size,
             "open" to endpoint.work.size,
             "first_byte" to choice.firstByte,
             "remaining" to (record.deadline - now)
@@ -219,6 +226,32 @@
     )
 }
 
+/** Notes the work at the endpoint and its helpers. */
+private fun withWork(
+    state: GatewayState,
+    record: ForwardRecord,
+    choice: ForwardChoice
+): PersistentMap<EndpointId, EndpointState> {
+    val now = state.common.now
+    val work =
+        EndpointWork(now, choice.readTime, record.size.context, record.gap, record.size.value)
+    var endpoints = state.endpoints
+    for (id in choice.helpers + choice.endpoint) {
+        val endpoint = endpoints[id] ?: continue
+        val part = if (id == choice.endpoint) work else work.copy(context = 0, helping = true)
+        val busy = endpoint.copy(
+            work = endpoint.work.put(record.request, part),
+            coldSends = if (id == choice.endpoint) {
+                endpoint.coldSends.with(now)
+            } else {
+                endpoint.coldSends
+            }
+        )
+        endpoints = endpoints.put(id, busy)
+    }
+    return endpoints
+}
+
 private fun targetFor(
     state: GatewayState,
     record: ForwardRecord,
@@ -245,15 +278,15 @@
 ): Step<GatewayState> {
     val record = state.requests[event.request] ?: return state.step()
     val attempt = record.attempt?.takeIf { it.id == event.attempt } ?: return state.step()
-    val endpoint = state.endpoints[attempt.endpoint]
-    val work = endpoint?.work?.get(event.request)
-    val endpoints = if (endpoint == null || work == null) {
-        state.endpoints
-    } else {
-        val writing = endpoint.work.put(event.request, work.copy(writing = true))
-        state.endpoints.put(attempt.endpoint, endpoint.copy(work = writing))
+    var endpoints = state.endpoints
+    for (id in attempt.helpers + attempt.endpoint) {
+        endpoints[id]?.let { endpoints = endpoints.put(id, it.afterReading(event.request)) }
     }
-    val next = record.copy(begun = true, mayHaveRun = true)
+    val next = record.copy(
+        begun = true,
+        begunAt = record.begunAt ?: state.common.now,
+        mayHaveRun = true
+    )
     return state.copy(
         requests = state.requests.put(event.request, next),
         endpoints = endpoints
@@ -284,6 +317,9 @@
                 "endpoint" to attempt.endpoint,
                 "status" to outcome.status,
                 "attempts" to record.sends,
+                "prompt_tokens" to record.size.prompt,
+                "first_event" to record.begunAt?.let { it - record.arrivedAt },
+                "longest_pause" to outcome.longestPause,
                 "took" to (now - record.arrivedAt)
             ),
             RuntimeEffect.CancelTimer(TimerId.ForwardDeadline(record.request))
@@ -455,9 +491,6 @@
         "cause" to causeOf(outcome)
     )
 
-/** The gateways that share the limits of the deployment, this one included. */
-internal val GatewayState.gateways: Int get() = 4
-
 private val RETRY_AFTER: Duration = 500.milliseconds
 private val SHORTEST_ATTEMPT: Duration = 20.milliseconds
 private val GAP_LIMIT: Duration = 3.seconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayPolicies.kt
@@ -4,7 +4,11 @@
 package org.gypsumroute.core.gateway
 
 import kotlin.time.Duration
+import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EndpointRecord
+import org.gypsumroute.api.EngineFigures
+import org.gypsumroute.api.EngineLoad
 
 /** Chooses where a request goes, or null if no endpoint may take it now. */
 typealias ForwardPlacement = (ForwardQuestion) -> ForwardChoice?
@@ -12,18 +16,32 @@
 /** One function for each behaviour that varies. */
 data class GatewayPolicies(val placement: ForwardPlacement)
 
-/** What a placement decides on: the request and the endpoints that may take it. */
+/**
+ * What a placement decides on. [objective] is the time that is left until a first byte would be
+ * late, [remaining] until the request fails, and [gap] the longest pause that its stream bears.
+ */
 data class ForwardQuestion(
-    val record: ForwardRecord,
     val candidates: List<ForwardCandidate>,
-    val ownDataCentre: String,
+    val figures: EngineFigures?,
+    val size: RequestSize,
+    val objective: Duration,
+    val remaining: Duration,
+    val gap: Duration,
+    val ownDataCentre: DataCentreId,
     val entropy: Long
 )
 
-/** An endpoint that may take the request. */
-data class ForwardCandidate(val state: EndpointState, val failureShare: Double)
+/** An endpoint that may take the request, with the load of all gateways as far as known. */
+data class ForwardCandidate(
+    val record: EndpointRecord,
+    val load: EngineLoad,
+    val failureShare: Double
+)
 
-/** Where a request goes and the [firstByte] that the placement expects. */
+/**
+ * Where a request goes. Endpoint and [helpers] read [readTime] each; the placement expects the
+ * first byte after [firstByte].
+ */
 data class ForwardChoice(
     val endpoint: EndpointId,
     val helpers: List<EndpointId>,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -3,7 +3,10 @@
  */
 package org.gypsumroute.core.gateway
 
+import kotlin.time.Duration.Companion.milliseconds
 import org.gypsumroute.api.Event
+import org.gypsumroute.api.ExchangeEvent
+import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.PublishedEffect
@@ -29,8 +32,9 @@
     is RuntimeEvent.TimerFired -> reduceGatewayTimer(state, event.timer)
     is PublishedEvent -> reducePublished(state, event).then { updateGatewayReadiness(it) }
     is ForwardEvent -> reduceForward(state, event)
+    is ExchangeEvent -> reduceExchange(state, event)
     else -> state.step()
-}.then { finishGatewayDrain(it) }
+}.then { spreadChanges(state, it) }.then { finishGatewayDrain(it) }
 
 private fun reduceGatewayStarted(state: GatewayState): Step<GatewayState> = state.step(
     logEffect(
@@ -40,18 +44,30 @@
         "data_centre" to state.common.node.dataCentre
     ),
     PublishedEffect.ReadSnapshot
-)
+).then { reduceReportBeat(it) }
 
 private fun reduceGatewayTimer(state: GatewayState, timer: TimerId): Step<GatewayState> =
     when (timer) {
         is TimerId.ForwardDeadline -> reduceForwardDeadline(state, timer.request)
         is TimerId.PublishedRead -> readPublished(state)
         is TimerId.EndpointReturn -> dropLapsedEndpoints(state)
+        is TimerId.ReportBeat -> reduceReportBeat(state)
+        is TimerId.ReportChange -> reduceReportChange(state)
+        is TimerId.DrainSettled -> state.copy(drainSettled = true).step()
         else -> state.step()
     }
 
+/**
+ * Begins a planned stop. The balancer needs some time to notice; until then and while it sends
+ * more, requests are served as before.
+ */
 private fun reduceGatewayDrain(state: GatewayState): Step<GatewayState> =
-    state.onCommon { reduceDrainRequested(it) }
+    if (state.common.drain != DrainPhase.SERVING) {
+        state.step()
+    } else {
+        state.onCommon { reduceDrainRequested(it) }
+            .then { it.step(RuntimeEffect.SetTimer(TimerId.DrainSettled, BALANCER_TIME)) }
+    }
 
 /** Ready while a routing table and the endpoints are known and no stop was asked for. */
 private fun updateGatewayReadiness(state: GatewayState): Step<GatewayState> {
@@ -63,7 +79,18 @@
 }
 
 /** Ends a planned stop once nothing is left to serve. */
-private fun finishGatewayDrain(state: GatewayState): Step<GatewayState> = state.step()
+private fun finishGatewayDrain(state: GatewayState): Step<GatewayState> {
+    val idle = state.drainSettled && state.requests.isEmpty()
+    if (state.common.drain != DrainPhase.DRAINING || !idle) return state.step()
+    return state.copy(common = state.common.copy(drain = DrainPhase.FINISHED)).step(
+        logEffect(LogEvent.DRAIN_FINISHED),
+        ForwardEffect.StopAccepting,
+        RuntimeEffect.Exit(0)
+    )
+}
+
+/** The balancer asks once a second and leaves a process out after two refusals. */
+private val BALANCER_TIME = 2500.milliseconds
 
 /** Applies a step to the shared state. */
 internal inline fun GatewayState.onCommon(
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/AnswerReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/AnswerReader.kt
@@ -10,6 +10,9 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
+import kotlin.time.Duration
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
 import org.gypsumroute.api.AttemptOutcome
 
 /** Collects or passes on the answer that [response] begins. */
@@ -26,6 +29,8 @@
     private val events = if (success && attempt.target.streaming) EventSplitter() else null
     private val collected: ByteBuf = Unpooled.buffer(0)
     private var relaying = false
+    private var lastPassed: TimeMark? = null
+    private var longestPause = Duration.ZERO
 
     /** Whether the caller got a part of this answer. */
     var passedOn = false
@@ -55,7 +60,7 @@
         val code = status.code()
         return when {
             events != null -> completeStream(events)
-            relaying -> AttemptOutcome.Completed(code).also { exchange.caller.end() }
+            relaying -> AttemptOutcome.Completed(code, longestPause).also { exchange.caller.end() }
             success -> completeAnswer()
             head.notRun -> AttemptOutcome.NotRun(code, head.misdirected, head.faulty)
             status.codeClass() == HttpStatusClass.SUCCESS -> AttemptOutcome.Lost("unsigned answer")
@@ -78,14 +83,14 @@
         else -> {
             begin()
             exchange.caller.end()
-            AttemptOutcome.Completed(status.code())
+            AttemptOutcome.Completed(status.code(), longestPause)
         }
     }
 
     private fun completeAnswer(): AttemptOutcome {
         exchange.begun = true
         exchange.caller.answer(status, headers, collected.retainedSlice())
-        return AttemptOutcome.Completed(status.code())
+        return AttemptOutcome.Completed(status.code(), longestPause)
     }
 
     private fun hold(): AttemptOutcome {
@@ -100,10 +105,16 @@
         passedOn = true
         exchange.lastEventId = splitter.lastEventId ?: exchange.lastEventId
         exchange.caller.pass(complete)
+        notePause()
         attempt.rearm()
         if (first) traffic.streamBegun(attempt)
     }
 
+    private fun notePause() {
+        lastPassed?.let { longestPause = maxOf(longestPause, it.elapsedNow()) }
+        lastPassed = TimeSource.Monotonic.markNow()
+    }
+
     private fun beginRelay() {
         relaying = true
         passedOn = true
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -8,6 +8,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import org.gypsumroute.api.ExchangeEffect
+import org.gypsumroute.api.ExchangeEvent
 import org.gypsumroute.api.NodeRole
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.core.CommonState
@@ -15,6 +17,7 @@
 import org.gypsumroute.core.NodeIdentity
 import org.gypsumroute.core.Timings
 import org.gypsumroute.core.defaultPolicies
+import org.gypsumroute.core.gateway.ExchangeState
 import org.gypsumroute.core.gateway.ForwardPlacements
 import org.gypsumroute.core.gateway.GatewayPolicies
 import org.gypsumroute.process.StopSignals
@@ -47,6 +50,12 @@
     @Volatile
     private var ready = false
     private val published: PublishedSource = source(::offer)
+    private val scope = CoroutineScope(SupervisorJob() + timerDispatcher)
+    private val reports = ReportChannel(
+        loop,
+        received = { from, report -> offer(ExchangeEvent.ReportReceived(from, report)) },
+        rejected = { _, _ -> }
+    )
     private val traffic = ForwardTraffic(loop, codec, ::offer)
     private val control: ControlThread = ControlThread(
         initial = GatewayState(
@@ -62,17 +71,21 @@
                 defaultPolicies
             ),
             bounds = settings.bounds,
-            policies = GatewayPolicies(ForwardPlacements.leastOpen)
+            policies = GatewayPolicies(ForwardPlacements.leastLoss),
+            exchange = ExchangeState(settings.exchangeAddress, settings.seeds)
         ),
         handlers = EffectHandlers(
             setReady = { ready = it },
             exit = finished,
             published = { published.execute(it) },
-            forward = { traffic.execute(it) }
+            forward = { traffic.execute(it) },
+            exchange = { effect ->
+                if (effect is ExchangeEffect.SendReport) reports.send(effect.to, effect.report)
+            }
         ),
         timeSource = TimeSource.Monotonic,
         entropy = { random.nextLong() },
-        timerScope = CoroutineScope(SupervisorJob() + timerDispatcher),
+        timerScope = scope,
         metrics = metrics,
         logger = EventLogger()
     )
@@ -96,6 +109,7 @@
 
     /** Listens and starts to work. Throws IOException if a port is in use. */
     fun start() {
+        reports.start(settings.exchangeAddress)
         control.start()
         settings.readyAddress?.let { readyPort = probes.start(it).port }
         settings.metricsAddress?.let { probes.start(it) }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewaySettings.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewaySettings.kt
@@ -3,12 +3,16 @@
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.RegionId
 import org.gypsumroute.core.gateway.GatewayBounds
 import org.gypsumroute.runtime.LogFormat
 
-/** Settings of a gateway process. */
+/**
+ * Settings of a gateway process. It reports to other gateways from [exchangeAddress] and finds them
+ * through [seeds], which may be out of date.
+ */
 data class GatewaySettings(
     val host: HostId,
     val region: RegionId,
@@ -17,6 +21,8 @@
     val readyAddress: InetSocketAddress?,
     val metricsAddress: InetSocketAddress?,
     val readyPath: String,
+    val exchangeAddress: EndpointAddress,
+    val seeds: List<EndpointAddress>,
     val bounds: GatewayBounds,
     val drainLimit: Duration,
     val logFormat: LogFormat
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/ControlThread.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/ControlThread.kt
@@ -12,6 +12,7 @@
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.EngineEffect
 import org.gypsumroute.api.Event
+import org.gypsumroute.api.ExchangeEffect
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.LogField
@@ -118,6 +119,7 @@
         is EngineEffect -> handlers.engine(effect)
         is PublishedEffect -> handlers.published(effect)
         is ForwardEffect -> handlers.forward(effect)
+        is ExchangeEffect -> handlers.exchange(effect)
     }
 
     private fun carryOutOwn(effect: RuntimeEffect) = when (effect) {
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/EffectHandlers.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/EffectHandlers.kt
@@ -3,6 +3,7 @@
 import org.gypsumroute.api.CallerEffect
 import org.gypsumroute.api.EngineEffect
 import org.gypsumroute.api.Event
+import org.gypsumroute.api.ExchangeEffect
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.PeerEffect
 import org.gypsumroute.api.PlatformEffect
@@ -24,5 +25,6 @@
     val caller: (CallerEffect) -> Unit = { },
     val engine: (EngineEffect) -> Unit = { },
     val published: (PublishedEffect) -> Unit = { },
-    val forward: (ForwardEffect) -> Unit = { }
+    val forward: (ForwardEffect) -> Unit = { },
+    val exchange: (ExchangeEffect) -> Unit = { }
 )
--- /dev/null
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
@@ -0,0 +1,40 @@
+/*
+ * Encoded form of the reports between gateways, one to a datagram: a version byte and a CBOR body.
+ * Labels are never reused; a new field needs a new label and a default.
+ */
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.gypsumroute.wire
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+
+@Serializable
+internal class ReportRecord(
+    @CborLabel(label = 1) val host: String,
+    @CborLabel(label = 2) val incarnation: String,
+    @CborLabel(label = 3) val sequence: Long,
+    @CborLabel(label = 4) val revision: Long,
+    @CborLabel(label = 5) val storeAnswers: Boolean,
+    @CborLabel(label = 6) val loads: List<LoadRecord> = emptyList(),
+    @CborLabel(label = 7) val members: List<String> = emptyList()
+)
+
+/** Work at one endpoint; [pendingRead] in milliseconds. */
+@Serializable
+internal class LoadRecord(
+    @CborLabel(label = 1) val endpoint: String,
+    @CborLabel(label = 2) val open: Int = 0,
+    @CborLabel(label = 3) val writers: Int = 0,
+    @CborLabel(label = 4) val pendingRead: Int = 0,
+    @CborLabel(label = 5) val context: Long = 0,
+    @CborLabel(label = 6) val stakes: List<StakeRecord> = emptyList()
+)
+
+/** [gap] in milliseconds, absent if any pause is borne; [value] in hundredths. */
+@Serializable
+internal class StakeRecord(
+    @CborLabel(label = 1) val value: Int,
+    @CborLabel(label = 2) val gap: Int? = null
+)
