Move silent attempts, reserve memory for the longest prompts, ask peers for records

Change: limits on the first byte and on pauses for requests that may move; reservations of memory, short and renewed, released on every end; records from the peer with the highest revision while the store does not answer; settings read again when the file changes or on SIGHUP; log lines on standard output through a bounded queue with a rate; the process ends if its control thread fails. The forward reducer is split by arrival, sending, attempts and endings.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayBounds.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayBounds.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.api
 
 import kotlin.time.Duration
 
@@ -8,7 +8,9 @@
  * In any [retryWindow], repeats of a service's requests stay under [retryRatio] times its requests
  * plus [retryAllowance]. A cold endpoint gets at most [coldFactor] times its published rate plus
  * [coldAllowance] requests in a second. [endpointReturn] is the time after an outage of the store
- * in which records that lapsed meanwhile return. [drainTime] bounds a planned stop.
+ * in which records that lapsed meanwhile return. Memory is reserved for [reservationHold] at a
+ * time, so that a lost release leaves it unused no longer than that. [drainTime] bounds a planned
+ * stop.
  */
 data class GatewayBounds(
     val retryRatio: Double,
@@ -17,5 +19,6 @@
     val coldFactor: Double,
     val coldAllowance: Int,
     val endpointReturn: Duration,
+    val reservationHold: Duration,
     val drainTime: Duration
 )
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
@@ -10,6 +10,9 @@
     DRAIN_STARTED(1003, LogLevel.INFO, "planned stop began; new work is refused"),
     DRAIN_FINISHED(1004, LogLevel.INFO, "planned stop finished"),
     PROCESS_PAUSED(1005, LogLevel.WARN, "the process was paused"),
+    SETTINGS_RELOADED(1006, LogLevel.INFO, "changed settings are in force"),
+    SETTINGS_REJECTED(1007, LogLevel.WARN, "changed settings have faults; the old ones stay"),
+    LOG_LINES_DROPPED(1008, LogLevel.WARN, "log lines were dropped"),
     DOCUMENT_ACCEPTED(2001, LogLevel.INFO, "service document accepted"),
     DOCUMENT_REJECTED(2002, LogLevel.WARN, "service document refused"),
     DOCUMENT_STALE(2003, LogLevel.INFO, "older service document ignored"),
@@ -27,6 +30,7 @@
     ENDPOINT_REMOVED(2015, LogLevel.INFO, "endpoint removed"),
     ENDPOINT_LEAVING(2016, LogLevel.INFO, "endpoint is leaving"),
     ENDPOINT_REBORN(2017, LogLevel.INFO, "endpoint started again under its id"),
+    PEER_RECORDS_FAILED(2018, LogLevel.WARN, "another gateway's records could not be read"),
     PEER_CONNECTED(3001, LogLevel.INFO, "peer connected"),
     PEER_DISCONNECTED(3002, LogLevel.INFO, "peer disconnected"),
     PEER_SILENT(3003, LogLevel.WARN, "peer is silent; opening a fresh connection"),
@@ -40,6 +44,9 @@
     ATTEMPT_FAILED(4006, LogLevel.WARN, "an attempt did not serve the request"),
     REQUEST_SERVED(4007, LogLevel.INFO, "request served"),
     CALLER_LEFT(4008, LogLevel.INFO, "caller left before the answer was complete"),
+    MEMORY_RESERVED(4009, LogLevel.INFO, "memory reserved for a request"),
+    MEMORY_REFUSED(4010, LogLevel.WARN, "memory could not be reserved for a request"),
+    MEMORY_RELEASED(4011, LogLevel.INFO, "reserved memory released"),
     LEASE_EXPIRED(5001, LogLevel.WARN, "lease expired; its work is cancelled"),
     ORPHAN_STREAM(5002, LogLevel.WARN, "engine holds a stream without a lease; cancelling it"),
     ORPHAN_HANDLE(5003, LogLevel.WARN, "engine holds an unclaimed cache handle; releasing it"),
@@ -50,7 +57,8 @@
     ENGINE_ORDER_REFUSED(5008, LogLevel.WARN, "engine refused an order"),
     EFFECT_FAILED(6001, LogLevel.ERROR, "an effect could not be carried out"),
     FRAME_REJECTED(6002, LogLevel.WARN, "a frame from a peer was refused"),
-    HANDSHAKE_FAILED(6003, LogLevel.WARN, "handshake with a peer failed")
+    HANDSHAKE_FAILED(6003, LogLevel.WARN, "handshake with a peer failed"),
+    CONTROL_FAILED(6004, LogLevel.ERROR, "the control thread failed; the process ends")
 }
 
 /** Severity of a log event. */
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
@@ -44,6 +44,9 @@
     /** End of the time in which a balancer notices a planned stop. */
     data object DrainSettled : TimerId
 
+    /** Next renewal of memory that engines set aside. */
+    data object ReservationRenewal : TimerId
+
     /** Next report to the other gateways, if nothing changes before. */
     data object ReportBeat : TimerId
 
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/NodeOptions.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/NodeOptions.kt
@@ -39,7 +39,7 @@
         }
         SharedKey(key)
     }
-    private val logFormat by option(help = "Form of log lines on standard error")
+    private val logFormat by option(help = "Form of log lines on standard output")
         .enum<LogFormat> { it.name.lowercase() }.default(LogFormat.JSON, defaultForHelp = "json")
     private val drainLimit by option(help = "Longest planned stop, in seconds; then exit code 1")
         .seconds(10.minutes)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -3,12 +3,12 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.GatewayBounds
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.core.gateway.EndpointState
 import org.gypsumroute.core.gateway.ExchangeState
 import org.gypsumroute.core.gateway.ForwardRecord
-import org.gypsumroute.core.gateway.GatewayBounds
 import org.gypsumroute.core.gateway.GatewayPolicies
 import org.gypsumroute.core.gateway.PublishedState
 import org.gypsumroute.core.gateway.RetryBudget
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
@@ -0,0 +1,111 @@
+/*
+ * Arrival of forwarded requests: route, organisation, service and the time that they have.
+ */
+package org.gypsumroute.core.gateway
+
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.ForwardEffect
+import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.OrganisationKeys
+import org.gypsumroute.api.Route
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.mixBits
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+
+internal fun reduceArrived(state: GatewayState, event: ForwardEvent.Arrived): Step<GatewayState> {
+    val head = event.head
+    val published = state.published
+    // Without a table nobody can tell a wrong route or key from a right one.
+    if (published.table ==
+        null
+    ) {
+        return refuse(state, event, ErrorKind.NOT_READY, "no routing table")
+    }
+    val route = published.routes.find(head.hostName, head.path)
+        ?: return refuse(state, event, ErrorKind.ROUTE_UNKNOWN, "no route matches host and path")
+    val keyed = !route.public && published.table.organisations != null
+    val organisation = head.keyDigest?.let { published.routes.organisation(it) }
+    if (keyed && organisation == null) {
+        return refuse(state, event, ErrorKind.CREDENTIALS_INVALID, "the key is not known")
+    }
+    val record = recordOf(state, event, route, organisation)
+    val budget = state.retryBudgets[record.service] ?: RetryBudget()
+    val now = state.common.now
+    val opened = state.copy(
+        requests = state.requests.put(event.request, record),
+        retryBudgets = state.retryBudgets.put(record.service, budget.withRequest(now))
+    )
+    val deadline =
+        RuntimeEffect.SetTimer(TimerId.ForwardDeadline(event.request), record.deadline - now)
+    return opened.step(deadline).then { next ->
+        val choice = next.policies.placement(questionFor(next, record))
+        if (choice == null) {
+            endWithError(next, record, ErrorKind.NO_ENDPOINT, "no endpoint may take the request")
+        } else {
+            reserveOrSend(next, record, choice)
+        }
+    }
+}
+
+private fun recordOf(
+    state: GatewayState,
+    event: ForwardEvent.Arrived,
+    route: Route,
+    organisation: OrganisationKeys?
+): ForwardRecord {
+    val now = state.common.now
+    val service = chooseService(route, state.common.entropy)
+    return ForwardRecord(
+        request = event.request,
+        head = event.head,
+        route = route,
+        service = service,
+        organisation = organisation?.organisation,
+        urgency = organisation?.priority ?: route.priority,
+        size = RequestSize.of(event.head, usualOutput(state, service)),
+        arrivedAt = now,
+        deadline = now + minOf(event.head.deadline ?: route.timeout, route.timeout)
+    )
+}
+
+private fun usualOutput(state: GatewayState, service: ServiceId): Long =
+    state.published.table?.services?.get(service)?.engine?.usualAnswer?.count ?: 0
+
+/** Picks a service in proportion to the weights. */
+internal fun chooseService(route: Route, entropy: Long): ServiceId {
+    val total = route.shares.sumOf { it.weight }
+    var rest = Math.floorMod(mixBits(entropy), total.coerceAtLeast(1).toLong())
+    for (share in route.shares) {
+        rest -= share.weight
+        if (rest < 0) return share.service
+    }
+    return route.shares.first().service
+}
+
+private fun refuse(
+    state: GatewayState,
+    event: ForwardEvent.Arrived,
+    kind: ErrorKind,
+    detail: String
+): Step<GatewayState> {
+    val retryAfter = if (kind == ErrorKind.NOT_READY) RETRY_AFTER else null
+    return state.step(
+        logEffect(
+            LogEvent.REQUEST_REFUSED,
+            "request" to event.head.callerId,
+            "kind" to kind.code,
+            "detail" to detail,
+            "host_name" to event.head.hostName,
+            "version" to state.published.table?.version
+        ),
+        ForwardEffect.Refuse(event.request, Failure(kind, detail, retryAfter = retryAfter))
+    )
+}
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointHealth.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointHealth.kt
@@ -17,11 +17,15 @@
     fun failureShare(now: Moment): Double =
         failureShare * HALF.pow((now - updatedAt).coerceAtLeast(Duration.ZERO) / FADING)
 
-    /** Notes the end of an attempt. */
-    fun after(now: Moment, failed: Boolean): EndpointHealth {
+    /**
+     * Notes the end of an attempt. [failure] is 0 for success and 1 for a failure; more for one
+     * that leaves no doubt.
+     */
+    fun after(now: Moment, failure: Double): EndpointHealth {
         val share = failureShare(now)
-        val seen = if (failed) 1.0 else 0.0
-        return EndpointHealth(share + (seen - share) * WEIGHT, now)
+        val seen = failure.coerceAtMost(1.0)
+        val weight = WEIGHT * failure.coerceAtLeast(1.0)
+        return EndpointHealth(share + (seen - share) * weight, now)
     }
 
     private companion object {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
@@ -10,19 +10,21 @@
 import org.gypsumroute.api.Stake
 
 /**
- * One published endpoint and this gateway's work there. Cold until [coldUntil].
+ * One published endpoint and this gateway's work there. Cold until [coldUntil]; [misdirected] once
+ * another endpoint answered at its address.
  */
 data class EndpointState(
     val record: EndpointRecord,
     val coldUntil: Moment,
     val work: PersistentMap<RequestId, EndpointWork> = persistentMapOf(),
     val health: EndpointHealth = EndpointHealth(),
-    val coldSends: SendWindow = SendWindow()
+    val coldSends: SendWindow = SendWindow(),
+    val misdirected: Boolean = false
 ) {
     /** The prompt of a request was read: its helpers are done and its endpoint writes. */
     fun afterReading(request: RequestId): EndpointState {
         val read = work[request] ?: return this
-        val left = if (read.helping) {
+        val left = if (read.helping && read.context == 0L) {
             work.remove(request)
         } else {
             work.put(request, read.copy(writing = true))
@@ -46,7 +48,7 @@
             open = running.size,
             writers = running.count { it.writing },
             pendingRead = readEnd - now,
-            context = running.sumOf { it.context },
+            context = items.sumOf { it.context },
             stakes = EngineLoad.merged(running.map { Stake(it.gap, it.value) })
         )
     }
@@ -54,8 +56,9 @@
 
 /**
  * A request's part of the work at one endpoint. [readTime] is what the endpoint had to read for it
- * when the work was sent at [sentAt]; a helper only reads. [context] tokens are held until the
- * end. The stream is worth [value] if no pause is longer than [gap].
+ * when the work was sent at [sentAt]; a helper only reads. [context] tokens are held until the end,
+ * also by a helper with reserved memory. The stream is worth [value] if no pause is longer than
+ * [gap].
  */
 data class EndpointWork(
     val sentAt: Moment,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
@@ -13,6 +13,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.core.stableHash
@@ -23,6 +24,7 @@
     return EnginePlacement(question, EngineModel(figures)).best()
 }
 
+/** One decision; engines compare alike for all gateways. */
 private class EnginePlacement(
     private val question: ForwardQuestion,
     private val model: EngineModel
@@ -32,6 +34,7 @@
 
     /** Whether the whole prompt can be read within one pass without harm to streams like it. */
     private val short = readTime + model.passTime(1, size.context) <= question.gap * SHORT_SHARE
+    private val objective = question.objective.coerceAtLeast(SHORTEST)
     private val engines = question.candidates.map { Engine(it) }
 
     fun best(): ForwardChoice? {
@@ -48,22 +51,45 @@
                 }
             }
         }
-        return ForwardChoice(
-            endpoint = chosen.first().candidate.record.id,
-            helpers = chosen.drop(1).map { it.candidate.record.id },
-            readTime = readTime / chosen.size,
-            firstByte = firstByte(chosen)
-        )
+        return if (chosen.first().fits) choiceOf(chosen, emptyMap()) else acrossEngines()
     }
 
     /** The engines that read a part of this size with the least harm, the roomiest one first. */
     private fun groupOf(count: Int): List<Engine> {
-        val part = readTime / count
-        val readers = engines.sortedBy { it.readingLoss(part) + it.preference }.take(count)
+        val readers = engines.sortedBy { it.readingLoss(readTime / count) }.take(count)
         val first = readers.minBy { it.runningLoss() }
         return listOf(first) + readers.filter { it !== first }
     }
 
+    /** Holds the prompt in the memory of several engines; null if that of all is not enough. */
+    private fun acrossEngines(): ForwardChoice? {
+        val byRoom = engines.sortedByDescending { it.room }
+        val first = byRoom.firstOrNull() ?: return null
+        var missing = size.context - first.room
+        val reserved = LinkedHashMap<EndpointId, Tokens>()
+        for (engine in byRoom.drop(1)) {
+            if (missing <= 0) break
+            val taken = minOf(engine.room, missing)
+            reserved[engine.candidate.record.id] = Tokens(taken)
+            missing -= taken
+        }
+        if (missing > 0 || reserved.isEmpty()) return null
+        val holders = byRoom.drop(1).take(reserved.size)
+        val others = byRoom.drop(1 + reserved.size).sortedBy { it.readingLoss(Duration.ZERO) }
+        val groups = (0..minOf(others.size, MOST_READERS - 1 - holders.size))
+            .map { listOf(first) + holders + others.take(it) }
+        return choiceOf(groups.minBy { lossOf(it) }, reserved)
+    }
+
+    private fun choiceOf(group: List<Engine>, reservations: Map<EndpointId, Tokens>) =
+        ForwardChoice(
+            endpoint = group.first().candidate.record.id,
+            helpers = group.drop(1).map { it.candidate.record.id },
+            readTime = readTime / group.size,
+            firstByte = firstByte(group),
+            reservations = reservations
+        )
+
     private fun lossOf(group: List<Engine>): Double {
         val part = readTime / group.size
         val first = group.first()
@@ -74,7 +100,7 @@
 
     private fun ownLoss(firstByte: Duration): Double = size.value * when {
         firstByte >= question.remaining -> 1.0
-        else -> LATE_LOSS * lateShare(firstByte / question.objective.coerceAtLeast(SHORTEST))
+        else -> LATE_LOSS * lateShare(firstByte / objective)
     }
 
     private fun firstByte(group: List<Engine>): Duration {
@@ -90,6 +116,10 @@
             model.passTime(load.writers.coerceAtLeast(1), load.context + size.context)
         val failureLoss: Double = candidate.failureShare * size.value
 
+        /** Tokens that still fit; a part of the memory stays free for streams that grow. */
+        val room: Long = ((model.memory * FULL_MEMORY).toLong() - load.context).coerceAtLeast(0)
+        val fits: Boolean = size.context <= room
+
         /** Wait for a slot if all are taken. */
         val slotWait: Duration = model.writeTime(TYPICAL_OUTPUT, pass) *
             ((load.open + 1.0 - model.slots).coerceAtLeast(0.0) / model.slots)
@@ -114,8 +144,7 @@
 
         /** Loss of letting the request run here, beyond the reading. */
         fun runningLoss(): Double {
-            val memoryShare = (load.context + size.context).toDouble() / model.memory
-            val crowded = if (memoryShare > FULL_MEMORY) size.value * CROWDED_LOSS else 0.0
+            val crowded = if (fits) 0.0 else size.value * CROWDED_LOSS
             val pauses = lateShare((pass + load.pendingRead * OVERLAP) / question.gap)
             return crowded + size.value * LATE_LOSS * pauses
         }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -8,6 +8,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.ExchangeEffect
 import org.gypsumroute.api.ExchangeEvent
@@ -48,7 +49,7 @@
     )
     val changed = state.copy(exchange = next)
     return if (known != null) {
-        changed.step()
+        askPeer(changed)
     } else {
         changed.step(
             logEffect(
@@ -58,7 +59,7 @@
                 "incarnation" to report.incarnation,
                 "members" to next.members.size
             )
-        ).then { sendReport(it) }
+        ).then { sendReport(it) }.then { askPeer(it) }
     }
 }
 
@@ -85,11 +86,16 @@
     }
 }
 
-/** The latest known work of the other gateways at each endpoint. */
-internal fun loadsOfOthers(state: GatewayState): List<Pair<Duration, GatewayReport>> =
-    state.exchange.members.values
-        .map { state.common.now - it.heardAt to it.report }
-        .filter { (age, _) -> age < LOAD_VALID }
+/** The latest known work of the other gateways. */
+internal fun loadsOfOthers(state: GatewayState): List<ReportedLoads> = state.exchange.members.values
+    .map { ReportedLoads(it.report, state.common.now - it.heardAt) }
+    .filter { it.age < LOAD_VALID }
+
+/** Another gateway's work, as of a report that is [age] old. */
+internal class ReportedLoads(private val report: GatewayReport, val age: Duration) {
+    /** Its work at an endpoint now, or null if there is none. */
+    fun loadAt(endpoint: EndpointId): EngineLoad? = report.loads[endpoint]?.after(age)
+}
 
 /** The gateways that share the limits of the deployment, this one included. */
 internal val GatewayState.gateways: Int
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
@@ -1,7 +1,9 @@
 package org.gypsumroute.core.gateway
 
 import kotlin.time.Duration
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.gypsumroute.api.AttemptId
 import org.gypsumroute.api.EndpointId
@@ -9,14 +11,18 @@
 import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.RequestHead
 import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.ReservationId
 import org.gypsumroute.api.Route
 import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.Tokens
 
 /**
  * One request that a caller waits for.
  *
  * [sends] counts the endpoints that it was sent to, [tried] names them. [mayHaveRun] is false only
- * while no endpoint can have run it. [begun] tells whether the caller got a part of an answer.
+ * while no endpoint can have run it. [begun] tells whether the caller got a part of an answer, and
+ * [failureHeld] whether an endpoint's failure is held for it. While memory is reserved for it,
+ * [reserving] is the choice that waits; [reservations] are released when the request ends.
  */
 data class ForwardRecord(
     val request: RequestId,
@@ -33,12 +39,19 @@
     val tried: PersistentSet<EndpointId> = persistentSetOf(),
     val mayHaveRun: Boolean = false,
     val begun: Boolean = false,
-    val begunAt: Moment? = null
+    val begunAt: Moment? = null,
+    val failureHeld: Boolean = false,
+    val reserving: ForwardChoice? = null,
+    val refusedReservations: Int = 0,
+    val reservations: PersistentMap<ReservationId, Reservation> = persistentMapOf()
 ) {
     /** The longest pause that the stream bears; a whole answer bears any. */
     val gap: Duration get() = route.gapObjective ?: Duration.INFINITE
 }
 
+/** Memory at [endpoint] for a part of a prompt; [held] once the engine said so. */
+data class Reservation(val endpoint: EndpointId, val tokens: Tokens, val held: Boolean = false)
+
 /** The attempt that is under way at [endpoint]; [helpers] read parts of the prompt. */
 data class Attempt(
     val id: AttemptId,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayPolicies.kt
@@ -9,6 +9,7 @@
 import org.gypsumroute.api.EndpointRecord
 import org.gypsumroute.api.EngineFigures
 import org.gypsumroute.api.EngineLoad
+import org.gypsumroute.api.Tokens
 
 /** Chooses where a request goes, or null if no endpoint may take it now. */
 typealias ForwardPlacement = (ForwardQuestion) -> ForwardChoice?
@@ -40,11 +41,13 @@
 
 /**
  * Where a request goes. Endpoint and [helpers] read [readTime] each; the placement expects the
- * first byte after [firstByte].
+ * first byte after [firstByte]. A prompt that no engine holds alone needs [reservations] at
+ * helpers.
  */
 data class ForwardChoice(
     val endpoint: EndpointId,
     val helpers: List<EndpointId>,
     val readTime: Duration,
-    val firstByte: Duration
+    val firstByte: Duration,
+    val reservations: Map<EndpointId, Tokens> = emptyMap()
 )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -11,8 +11,10 @@
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
+import org.gypsumroute.api.ReservationEvent
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.SettingsEvent
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.CommonState
@@ -33,6 +35,8 @@
     is PublishedEvent -> reducePublished(state, event).then { updateGatewayReadiness(it) }
     is ForwardEvent -> reduceForward(state, event)
     is ExchangeEvent -> reduceExchange(state, event)
+    is ReservationEvent -> reduceReservation(state, event)
+    is SettingsEvent -> reduceSettings(state, event)
     else -> state.step()
 }.then { spreadChanges(state, it) }.then { finishGatewayDrain(it) }
 
@@ -51,6 +55,7 @@
         is TimerId.ForwardDeadline -> reduceForwardDeadline(state, timer.request)
         is TimerId.PublishedRead -> readPublished(state)
         is TimerId.EndpointReturn -> dropLapsedEndpoints(state)
+        is TimerId.ReservationRenewal -> renewReservations(state)
         is TimerId.ReportBeat -> reduceReportBeat(state)
         is TimerId.ReportChange -> reduceReportChange(state)
         is TimerId.DrainSettled -> state.copy(drainSettled = true).step()
@@ -69,6 +74,17 @@
             .then { it.step(RuntimeEffect.SetTimer(TimerId.DrainSettled, BALANCER_TIME)) }
     }
 
+private fun reduceSettings(state: GatewayState, event: SettingsEvent): Step<GatewayState> =
+    when (event) {
+        is SettingsEvent.Changed -> state.copy(
+            bounds = event.bounds,
+            exchange = state.exchange.copy(seeds = event.seeds)
+        ).step(logEffect(LogEvent.SETTINGS_RELOADED, "seeds" to event.seeds.size))
+
+        is SettingsEvent.Rejected ->
+            state.step(logEffect(LogEvent.SETTINGS_REJECTED, "problem" to event.problem))
+    }
+
 /** Ready while a routing table and the endpoints are known and no stop was asked for. */
 private fun updateGatewayReadiness(state: GatewayState): Step<GatewayState> {
     val ready = state.common.drain == DrainPhase.SERVING && state.published.table != null
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -29,7 +29,14 @@
 
 internal fun reducePublished(state: GatewayState, event: PublishedEvent): Step<GatewayState> =
     when (event) {
-        is PublishedEvent.SnapshotRead -> reduceSnapshot(state, event)
+        is PublishedEvent.SnapshotRead ->
+            if (event.from ==
+                null
+            ) {
+                reduceSnapshot(state, event)
+            } else {
+                reducePeerSnapshot(state, event)
+            }
 
         is PublishedEvent.ChangesRead -> storeAnswered(state)
             .then { applyChanges(it, event.revision, event.changes) }
@@ -38,8 +45,46 @@
         is PublishedEvent.HistoryLost ->
             state.step(logEffect(LogEvent.HISTORY_LOST), PublishedEffect.ReadSnapshot)
 
-        is PublishedEvent.ReadFailed -> reduceReadFailed(state, event)
+        is PublishedEvent.ReadFailed ->
+            if (event.from == null) {
+                reduceReadFailed(state, event).then { askPeer(it) }
+            } else {
+                peerAnswered(state).step(
+                    logEffect(
+                        LogEvent.PEER_RECORDS_FAILED,
+                        "member" to event.from,
+                        "cause" to event.cause
+                    )
+                )
+            }
+    }
+
+/**
+ * Asks another gateway for its records if it holds newer ones and the store does not answer here.
+ */
+internal fun askPeer(state: GatewayState): Step<GatewayState> {
+    val published = state.published
+    if (published.askingPeer || (published.storeAnswers && published.table != null)) {
+        return state.step()
     }
+    val (address, member) = state.exchange.members.entries
+        .maxByOrNull { it.value.report.revision }
+        ?.takeIf { it.value.report.revision > published.revision } ?: return state.step()
+    return state.copy(published = published.copy(askingPeer = true))
+        .step(PublishedEffect.ReadFromPeer(member.report.host, address))
+}
+
+private fun reducePeerSnapshot(
+    state: GatewayState,
+    event: PublishedEvent.SnapshotRead
+): Step<GatewayState> {
+    val answered = peerAnswered(state)
+    if (event.revision <= answered.published.revision) return answered.step()
+    return takeSnapshot(answered, event)
+}
+
+private fun peerAnswered(state: GatewayState): GatewayState =
+    state.copy(published = state.published.copy(askingPeer = false))
 
 /** Asks for the changes after what is known, or for everything. */
 internal fun readPublished(state: GatewayState): Step<GatewayState> = state.step(
@@ -55,22 +100,26 @@
     event: PublishedEvent.SnapshotRead
 ): Step<GatewayState> {
     if (event.revision < state.published.revision) return readPublished(state)
-    return storeAnswered(state)
-        .then { removeUnlisted(it, event.records) }
-        .then { applyChanges(it, event.revision, event.records) }
-        .then {
-            it.step(
-                logEffect(
-                    LogEvent.RECORDS_READ,
-                    "revision" to event.revision,
-                    "records" to event.records.size,
-                    "endpoints" to it.endpoints.size
-                )
-            )
-        }
-        .then { readPublished(it) }
+    return storeAnswered(state).then { takeSnapshot(it, event) }.then { readPublished(it) }
 }
 
+private fun takeSnapshot(
+    state: GatewayState,
+    event: PublishedEvent.SnapshotRead
+): Step<GatewayState> = removeUnlisted(state, event.records)
+    .then { applyChanges(it, event.revision, event.records) }
+    .then {
+        it.step(
+            logEffect(
+                LogEvent.RECORDS_READ,
+                "from" to (event.from ?: "store"),
+                "revision" to event.revision,
+                "records" to event.records.size,
+                "endpoints" to it.endpoints.size
+            )
+        )
+    }
+
 /** Removes what a full read no longer lists. */
 private fun removeUnlisted(
     state: GatewayState,
@@ -141,7 +190,7 @@
     val next = if (known == null || reborn) {
         EndpointState(record, coldUntil)
     } else {
-        known.copy(record = record, coldUntil = coldUntil)
+        known.copy(record = record, coldUntil = coldUntil, misdirected = false)
     }
     val event = when {
         known == null -> LogEvent.ENDPOINT_ADDED
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedState.kt
@@ -11,7 +11,8 @@
 /**
  * What was read of the published records besides the endpoints.
  *
- * [storeAnswers] tells how the latest read ended and [lastRead] when one ended well. Records of
+ * [storeAnswers] tells how the latest read ended and [lastRead] when one ended well. While it does
+ * not, [askingPeer] tells that another gateway was asked. Records of
  * [lapsed] endpoints were removed around an outage of the store and may return until
  * [returnsUntil].
  */
@@ -22,6 +23,7 @@
     val dataCentresOut: PersistentSet<DataCentreId> = persistentSetOf(),
     val storeAnswers: Boolean = true,
     val failures: Int = 0,
+    val askingPeer: Boolean = false,
     val lastRead: Moment = Moment.START,
     val lapsed: PersistentSet<EndpointId> = persistentSetOf(),
     val returnsUntil: Moment = Moment.START
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -0,0 +1,143 @@
+/*
+ * The ways in which a forwarded request ends.
+ */
+package org.gypsumroute.core.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import org.gypsumroute.api.AttemptOutcome
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.ForwardEffect
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.RunState
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+
+/** The whole answer was passed on. */
+internal fun endServed(
+    state: GatewayState,
+    record: ForwardRecord,
+    attempt: Attempt,
+    outcome: AttemptOutcome.Completed
+): Step<GatewayState> {
+    val now = state.common.now
+    return close(state, record).andThen(
+        logEffect(
+            LogEvent.REQUEST_SERVED,
+            "request" to record.head.callerId,
+            "route" to record.route.name,
+            "endpoint" to attempt.endpoint,
+            "status" to outcome.status,
+            "attempts" to record.sends,
+            "prompt_tokens" to record.size.prompt,
+            "first_event" to record.begunAt?.let { it - record.arrivedAt },
+            "longest_pause" to outcome.longestPause,
+            "took" to (now - record.arrivedAt)
+        ),
+        RuntimeEffect.CancelTimer(TimerId.ForwardDeadline(record.request))
+    )
+}
+
+/** Passes on the failure that an endpoint answered. */
+internal fun endWithHeldFailure(state: GatewayState, record: ForwardRecord): Step<GatewayState> =
+    close(state, record).andThen(
+        ForwardEffect.RelayFailure(record.request),
+        RuntimeEffect.CancelTimer(TimerId.ForwardDeadline(record.request))
+    )
+
+/** Answers with an error, or breaks off an answer that has begun. */
+internal fun endWithError(
+    state: GatewayState,
+    record: ForwardRecord,
+    kind: ErrorKind,
+    detail: String
+): Step<GatewayState> {
+    val runState = if (record.mayHaveRun) RunState.UNKNOWN else RunState.NOT_RUN
+    val retryAfter = RETRY_AFTER.takeIf { runState == RunState.NOT_RUN }
+    val effect = if (record.begun) {
+        ForwardEffect.Cut(record.request)
+    } else {
+        ForwardEffect.Refuse(record.request, Failure(kind, detail, runState, retryAfter))
+    }
+    return close(state, record).andThen(
+        logEffect(
+            if (record.mayHaveRun) LogEvent.REQUEST_FAILED else LogEvent.REQUEST_REFUSED,
+            "request" to record.head.callerId,
+            "route" to record.route.name,
+            "kind" to kind.code,
+            "run" to runState.code,
+            "detail" to detail,
+            "attempts" to record.sends,
+            "begun" to record.begun,
+            "took" to (state.common.now - record.arrivedAt)
+        ),
+        effect,
+        RuntimeEffect.CancelTimer(TimerId.ForwardDeadline(record.request))
+    )
+}
+
+internal fun reduceCallerLeft(state: GatewayState, request: RequestId): Step<GatewayState> {
+    val record = state.requests[request] ?: return state.step()
+    return abandonAttempt(state, record).then { next ->
+        close(next, record).andThen(
+            logEffect(
+                LogEvent.CALLER_LEFT,
+                "request" to record.head.callerId,
+                "route" to record.route.name,
+                "endpoint" to record.attempt?.endpoint,
+                "begun" to record.begun,
+                "took" to (state.common.now - record.arrivedAt)
+            ),
+            RuntimeEffect.CancelTimer(TimerId.ForwardDeadline(request))
+        )
+    }
+}
+
+/** Gives up a request whose time is over. */
+internal fun reduceForwardDeadline(state: GatewayState, request: RequestId): Step<GatewayState> {
+    val record = state.requests[request] ?: return state.step()
+    val sent = record.attempt != null
+    return abandonAttempt(state, record).then { next ->
+        val ended = record.copy(attempt = null, mayHaveRun = record.mayHaveRun || sent)
+        endWithError(next, ended, ErrorKind.DEADLINE_EXCEEDED, "the time of the request is over")
+    }
+}
+
+private fun abandonAttempt(state: GatewayState, record: ForwardRecord): Step<GatewayState> {
+    val attempt = record.attempt ?: return state.step()
+    return releaseWork(state, record, attempt)
+        .step(ForwardEffect.Abandon(record.request, attempt.id))
+}
+
+/** Takes the request's work off its endpoint and helpers. */
+internal fun releaseWork(
+    state: GatewayState,
+    record: ForwardRecord,
+    attempt: Attempt
+): GatewayState {
+    var endpoints = state.endpoints
+    for (id in attempt.helpers + attempt.endpoint) {
+        val endpoint = endpoints[id] ?: continue
+        endpoints = endpoints.put(id, endpoint.copy(work = endpoint.work.remove(record.request)))
+    }
+    return state.copy(endpoints = endpoints)
+}
+
+/** Forgets the request and gives back what was reserved for it. */
+private fun close(state: GatewayState, record: ForwardRecord): Step<GatewayState> =
+    releaseReservations(state, record)
+        .then { it.copy(requests = it.requests.remove(record.request)).step() }
+
+private fun Step<GatewayState>.andThen(vararg effects: Effect): Step<GatewayState> =
+    then { it.step(*effects) }
+
+/** When a caller whose request did not run may come back. */
+internal val RETRY_AFTER: Duration = 500.milliseconds
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -2,16 +2,22 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import java.net.InetSocketAddress
 import java.security.SecureRandom
 import java.util.concurrent.Executors
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.gypsumroute.api.Event
 import org.gypsumroute.api.ExchangeEffect
 import org.gypsumroute.api.ExchangeEvent
 import org.gypsumroute.api.NodeRole
 import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.SettingsEvent
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.NodeIdentity
@@ -29,15 +35,17 @@
 import org.gypsumroute.runtime.EventSink
 import org.gypsumroute.runtime.LogOutput
 import org.gypsumroute.runtime.NodeMetrics
+import sun.misc.Signal
 
 /**
- * A gateway process; several may live in one JVM for tests. [source] reads the published records
- * and [finished] is called once with the exit code.
+ * A gateway process; several may live in one JVM for tests. [source] reads the published records,
+ * [orders] reserves memory at engines, and [finished] is called once with the exit code.
  */
 class GatewayProcess(
     private val settings: GatewaySettings,
     codec: ForwardCodec,
     source: (EventSink) -> PublishedSource,
+    orders: (EventSink) -> ReservationOrders,
     finished: (Int) -> Unit
 ) {
     private val timerDispatcher = Executors.newSingleThreadScheduledExecutor { task ->
@@ -50,6 +58,7 @@
     @Volatile
     private var ready = false
     private val published: PublishedSource = source(::offer)
+    private val orders: ReservationOrders = orders(::offer)
     private val scope = CoroutineScope(SupervisorJob() + timerDispatcher)
     private val reports = ReportChannel(
         loop,
@@ -81,7 +90,8 @@
             forward = { traffic.execute(it) },
             exchange = { effect ->
                 if (effect is ExchangeEffect.SendReport) reports.send(effect.to, effect.report)
-            }
+            },
+            reservation = { this.orders.execute(it) }
         ),
         timeSource = TimeSource.Monotonic,
         entropy = { random.nextLong() },
@@ -99,6 +109,11 @@
         )
     )
 
+    private val peerPages = ProbeServer(
+        loop,
+        mapOf(RECORDS_PATH to { ProbePage(OK, published.heldRecords(), "application/cbor") })
+    )
+
     /** The callers' port in use; known after [start]. */
     var callersPort = 0
         private set
@@ -110,6 +125,7 @@
     /** Listens and starts to work. Throws IOException if a port is in use. */
     fun start() {
         reports.start(settings.exchangeAddress)
+        peerPages.start(settings.exchangeAddress.let { InetSocketAddress(it.host, it.port) })
         control.start()
         settings.readyAddress?.let { readyPort = probes.start(it).port }
         settings.metricsAddress?.let { probes.start(it) }
@@ -122,34 +138,58 @@
         offer(RuntimeEvent.DrainRequested)
     }
 
+    /** Takes over changed settings. */
+    fun checkSettings(read: () -> SettingsEvent?) {
+        read()?.let { offer(it) }
+    }
+
+    /** Looks for changed settings from now on. */
+    fun watchSettings(read: () -> SettingsEvent?) {
+        scope.launch {
+            while (true) {
+                delay(SETTINGS_INTERVAL)
+                checkSettings(read)
+            }
+        }
+    }
+
     /** Closes everything at once. */
     fun stop() {
         control.stop()
         published.close()
+        orders.close()
         loop.shutdownGracefully()
         timerDispatcher.close()
     }
 
-    private fun offer(event: org.gypsumroute.api.Event) = control.offer(event)
+    private fun offer(event: Event) = control.offer(event)
 
     private fun readyPage() =
         if (ready) ProbePage(OK, "ready\n") else ProbePage(UNAVAILABLE, "not ready\n")
 
     private companion object {
+        val SETTINGS_INTERVAL = 1.seconds
         const val OK = 200
         const val UNAVAILABLE = 503
     }
 }
 
-/** Runs a gateway until it is stopped and returns the exit code. */
+/**
+ * Runs a gateway until it is stopped and returns the exit code. [readSettings] reads changed
+ * settings, or says what is wrong with them; it is asked once a second and on SIGHUP.
+ */
 fun runGateway(
     settings: GatewaySettings,
     codec: ForwardCodec,
-    source: (EventSink) -> PublishedSource
+    source: (EventSink) -> PublishedSource,
+    orders: (EventSink) -> ReservationOrders,
+    readSettings: () -> SettingsEvent?
 ): Int {
     LogOutput.configure(settings.logFormat, settings.host)
     lateinit var signals: StopSignals
-    val process = GatewayProcess(settings, codec, source) { signals.finished(it) }
+    val process = GatewayProcess(settings, codec, source, orders) { signals.finished(it) }
     signals = StopSignals(settings.drainLimit) { process.drain() }
+    Signal.handle(Signal("HUP")) { process.checkSettings(readSettings) }
+    process.watchSettings(readSettings)
     return runUntilStopped(signals, process::start, process::stop)
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewaySettings.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewaySettings.kt
@@ -4,9 +4,9 @@
 import kotlin.time.Duration
 import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.GatewayBounds
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.RegionId
-import org.gypsumroute.core.gateway.GatewayBounds
 import org.gypsumroute.runtime.LogFormat
 
 /**
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ProbeServer.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ProbeServer.kt
@@ -26,7 +26,13 @@
 import java.net.InetSocketAddress
 
 /** One page of a [ProbeServer]. */
-class ProbePage(val status: Int, val text: String)
+internal class ProbePage(
+    val status: Int,
+    val content: ByteArray,
+    val type: String = "text/plain; charset=utf-8"
+) {
+    constructor(status: Int, text: String) : this(status, text.encodeToByteArray())
+}
 
 /** Serves [pages] by path; other paths are answered with 404. */
 internal class ProbeServer(
@@ -60,10 +66,10 @@
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
             val page = pages[request.uri().substringBefore('?')]?.invoke()
                 ?: ProbePage(HttpResponseStatus.NOT_FOUND.code(), "no such page\n")
-            val body = Unpooled.copiedBuffer(page.text, Charsets.UTF_8)
+            val body = Unpooled.wrappedBuffer(page.content)
             val status = HttpResponseStatus.valueOf(page.status)
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
-            response.headers()[HttpHeaderNames.CONTENT_TYPE] = "text/plain; charset=utf-8"
+            response.headers()[HttpHeaderNames.CONTENT_TYPE] = page.type
             HttpUtil.setContentLength(response, body.readableBytes().toLong())
             val keepAlive = HttpUtil.isKeepAlive(request)
             if (!keepAlive) {
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/PublishedSource.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/PublishedSource.kt
@@ -6,4 +6,10 @@
 interface PublishedSource : AutoCloseable {
     /** Starts a read and returns at once; its outcome becomes one event. */
     fun execute(effect: PublishedEffect)
+
+    /** The records read last, encoded for another gateway. */
+    fun heldRecords(): ByteArray
 }
+
+/** Path under which a gateway serves its records to others. */
+const val RECORDS_PATH = "/records"
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/Running.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/Running.kt
@@ -2,6 +2,7 @@
 
 import java.io.IOException
 import java.nio.channels.UnresolvedAddressException
+import org.gypsumroute.runtime.LogOutput
 
 /**
  * Runs a process from [start] to its planned or forced end and returns the exit code: 1 if it
@@ -18,6 +19,7 @@
     }
     val code = signals.await()
     stop()
+    LogOutput.close()
     return code
 }
 
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/ControlThread.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/ControlThread.kt
@@ -20,6 +20,7 @@
 import org.gypsumroute.api.PeerEffect
 import org.gypsumroute.api.PlatformEffect
 import org.gypsumroute.api.PublishedEffect
+import org.gypsumroute.api.ReservationEffect
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.Step
@@ -91,8 +92,17 @@
         while (true) process(mailbox.poll() ?: return)
     }
 
+    /**
+     * Exceptions leave the thread running; an error such as a failed class load does not, and a
+     * process that no longer decides would leave its callers waiting, so it ends.
+     */
     private fun run() {
-        while (true) process(mailbox.take() ?: return)
+        try {
+            while (true) process(mailbox.take() ?: return)
+        } catch (error: Error) {
+            logger.log(LogEvent.CONTROL_FAILED, listOf(LogField("error", error.javaClass.name)))
+            handlers.exit(EXIT_CONTROL_FAILED)
+        }
     }
 
     private fun apply(event: Event) {
@@ -120,6 +130,7 @@
         is PublishedEffect -> handlers.published(effect)
         is ForwardEffect -> handlers.forward(effect)
         is ExchangeEffect -> handlers.exchange(effect)
+        is ReservationEffect -> handlers.reservation(effect)
     }
 
     private fun carryOutOwn(effect: RuntimeEffect) = when (effect) {
@@ -156,5 +167,6 @@
 
     private companion object {
         const val STOP_SECONDS = 5L
+        const val EXIT_CONTROL_FAILED = 1
     }
 }
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/EffectHandlers.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/EffectHandlers.kt
@@ -8,6 +8,7 @@
 import org.gypsumroute.api.PeerEffect
 import org.gypsumroute.api.PlatformEffect
 import org.gypsumroute.api.PublishedEffect
+import org.gypsumroute.api.ReservationEffect
 
 /** Hands an event to the control thread; may be called from any thread and never blocks. */
 typealias EventSink = (Event) -> Unit
@@ -26,5 +27,6 @@
     val engine: (EngineEffect) -> Unit = { },
     val published: (PublishedEffect) -> Unit = { },
     val forward: (ForwardEffect) -> Unit = { },
-    val exchange: (ExchangeEffect) -> Unit = { }
+    val exchange: (ExchangeEffect) -> Unit = { },
+    val reservation: (ReservationEffect) -> Unit = { }
 )
--- a/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/ControlThreadTest.kt
+++ b/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/ControlThreadTest.kt
@@ -4,6 +4,8 @@
 package org.gypsumroute.runtime
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -37,6 +39,7 @@
 class ControlThreadTest {
     private val seen = ArrayList<Event>()
     private val ready = ArrayList<Boolean>()
+    private val exits = LinkedBlockingQueue<Int>()
     private var script: (Event) -> List<Effect> = { emptyList() }
     private val timer = TimerId.Heartbeat
     private val fired = RuntimeEvent.TimerFired(timer)
@@ -47,7 +50,7 @@
             initial = initialState,
             handlers = EffectHandlers(
                 setReady = { ready += it },
-                exit = {},
+                exit = { exits += it },
                 platform = { error("broken handler") }
             ),
             timeSource = testTimeSource,
@@ -139,6 +142,19 @@
             assertEquals(listOf(false), ready)
         }
 
+    /** A process whose control thread is gone would keep callers waiting until their deadlines. */
+    @Test
+    fun `an error in the reducer ends the process`() = runTest {
+        val control = control()
+        script = {
+            if (it == RuntimeEvent.DrainRequested) throw NoClassDefFoundError("x") else emptyList()
+        }
+        control.start()
+        control.offer(RuntimeEvent.DrainRequested)
+        assertEquals(1, exits.poll(10, TimeUnit.SECONDS))
+        control.stop()
+    }
+
     @Test
     fun `a started thread processes all accepted events before it stops`() = runTest {
         val control = control()
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/Deflation.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/Deflation.kt
@@ -1,5 +1,5 @@
 /*
- * Compression of documents, which are text and travel rarely.
+ * Compression of documents and published items, which are text and travel rarely.
  */
 package org.gypsumroute.wire
 
@@ -8,19 +8,17 @@
 import java.util.zip.DeflaterOutputStream
 import java.util.zip.InflaterInputStream
 
-internal fun deflate(bytes: ByteArray): ByteArray {
-    require(bytes.size <= MAX_DOCUMENT_BYTES) { "document is larger than $MAX_DOCUMENT_BYTES" }
+internal fun deflate(bytes: ByteArray, largest: Int = MAX_DOCUMENT_BYTES): ByteArray {
+    require(bytes.size <= largest) { "content is larger than $largest" }
     val output = ByteArrayOutputStream()
     DeflaterOutputStream(output).use { it.write(bytes) }
     return output.toByteArray()
 }
 
-/** Throws IOException or IllegalArgumentException for bytes that are no deflated document. */
-internal fun inflate(bytes: ByteArray): ByteArray =
+/** Throws IOException or IllegalArgumentException for bytes that are no deflated content. */
+internal fun inflate(bytes: ByteArray, largest: Int = MAX_DOCUMENT_BYTES): ByteArray =
     InflaterInputStream(ByteArrayInputStream(bytes)).use { input ->
-        val inflated = input.readNBytes(MAX_DOCUMENT_BYTES + 1)
-        require(inflated.size <= MAX_DOCUMENT_BYTES) {
-            "inflated document is larger than $MAX_DOCUMENT_BYTES"
-        }
+        val inflated = input.readNBytes(largest + 1)
+        require(inflated.size <= largest) { "inflated content is larger than $largest" }
         inflated
     }
--- /dev/null
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/PublishedItemsCodec.kt
@@ -0,0 +1,50 @@
+/*
+ * Encoded form of published items: a version byte and a deflated CBOR body.
+ */
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.gypsumroute.wire
+
+import arrow.core.Either
+import arrow.core.left
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.CborLabel
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.gypsumroute.api.Revision
+
+/** Encodes items for another gateway. */
+fun encodeItems(items: PublishedItems): ByteArray {
+    val records = items.items.map { (key, value) -> ItemRecord(key, value) }
+    val body = cbor.encodeToByteArray(ItemsRecord(items.revision.value, records))
+    return byteArrayOf(ITEMS_VERSION) + deflate(body, MAX_ITEMS_BYTES)
+}
+
+/** Decodes items of another gateway. Never throws. */
+fun decodeItems(bytes: ByteArray): Either<WireFault, PublishedItems> {
+    if (bytes.firstOrNull() != ITEMS_VERSION) return WireFault("unknown version of items").left()
+    return Either.catch {
+        val body = inflate(bytes.copyOfRange(1, bytes.size), MAX_ITEMS_BYTES)
+        val record = cbor.decodeFromByteArray<ItemsRecord>(body)
+        PublishedItems(Revision(record.revision), record.items.associate { it.key to it.value })
+    }.mapLeft { WireFault("undecodable items: ${it::class.simpleName}") }
+}
+
+@Serializable
+private class ItemsRecord(
+    @CborLabel(label = 1) val revision: Long,
+    @CborLabel(label = 2) val items: List<ItemRecord>
+)
+
+@Serializable
+private class ItemRecord(
+    @CborLabel(label = 1) val key: String,
+    @ByteString @CborLabel(label = 2) val value: ByteArray
+)
+
+private const val ITEMS_VERSION: Byte = 1
+
+/** A routing table of one value's size and some thousand endpoints. */
+private const val MAX_ITEMS_BYTES = 8 * 1024 * 1024
