--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -53,18 +53,26 @@
 private fun reduceGatewayTimer(state: GatewayState, timer: TimerId): Step<GatewayState> =
     when (timer) {
         is TimerId.ForwardDeadline -> reduceForwardDeadline(state, timer.request)
+
         is TimerId.PublishedRead -> readPublished(state)
+
         is TimerId.EndpointReturn -> dropLapsedEndpoints(state)
+
         is TimerId.ReservationRenewal -> renewReservations(state)
+
         is TimerId.ReportBeat -> reduceReportBeat(state)
+
         is TimerId.ReportChange -> reduceReportChange(state)
-        is TimerId.DrainSettled -> state.copy(drainSettled = true).step()
+
+        is TimerId.DrainSettled ->
+            state.copy(drainSettled = true).step(ForwardEffect.StopAccepting)
+
         else -> state.step()
     }
 
 /**
- * Begins a planned stop. The balancer needs some time to notice; until then and while it sends
- * more, requests are served as before.
+ * Begins a planned stop. The balancer needs some time to notice, and until then requests are
+ * served as before. Later ones might not end in time, so connections that are idle by then close.
  */
 private fun reduceGatewayDrain(state: GatewayState): Step<GatewayState> =
     if (state.common.drain != DrainPhase.SERVING) {
@@ -98,11 +106,8 @@
 private fun finishGatewayDrain(state: GatewayState): Step<GatewayState> {
     val idle = state.drainSettled && state.requests.isEmpty()
     if (state.common.drain != DrainPhase.DRAINING || !idle) return state.step()
-    return state.copy(common = state.common.copy(drain = DrainPhase.FINISHED)).step(
-        logEffect(LogEvent.DRAIN_FINISHED),
-        ForwardEffect.StopAccepting,
-        RuntimeEffect.Exit(0)
-    )
+    return state.copy(common = state.common.copy(drain = DrainPhase.FINISHED))
+        .step(logEffect(LogEvent.DRAIN_FINISHED), RuntimeEffect.Exit(0))
 }
 
 /** The balancer asks once a second and leaves a process out after two refusals. */
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ArrivalReducerTest.kt
@@ -0,0 +1,102 @@
+package org.gypsumroute.core.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.PublishedRecord
+import org.gypsumroute.api.Repetition
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.ServiceShare
+
+class ArrivalReducerTest {
+    /** A restarted gateway must not deny what the table it has not read allows. */
+    @Test
+    fun `without a routing table every request is refused as not ready`() {
+        val harness = GatewayHarness().apply { feed(RuntimeEvent.Started) }
+        harness.arrive("1")
+        assertEquals(ErrorKind.NOT_READY, harness.refusals.single().failure.kind)
+    }
+
+    @Test
+    fun `an unknown path and an unknown key have answers of their own`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.arrive("1", headOf("/nowhere/x"))
+        assertEquals(ErrorKind.ROUTE_UNKNOWN, harness.refusals.single().failure.kind)
+        harness.arrive("2", headOf("/plain/x", key = "other"))
+        assertEquals(ErrorKind.CREDENTIALS_INVALID, harness.refusals.single().failure.kind)
+        harness.arrive("3", headOf("/plain/x", key = null))
+        assertEquals(ErrorKind.CREDENTIALS_INVALID, harness.refusals.single().failure.kind)
+        harness.arrive("4", headOf("/open/x", key = null))
+        assertEquals(1, harness.sends.size)
+    }
+
+    @Test
+    fun `the longest prefix wins and host names match in any case`() {
+        val table = tableOf(
+            1,
+            routeOf("/", plainService, Repetition.IDEMPOTENT),
+            routeOf("/a/b/", modelService, Repetition.IDEMPOTENT),
+            routeOf("/a/", plainService, Repetition.IDEMPOTENT)
+        )
+        val routes = RouteIndex.of(table)
+        assertEquals("/a/b/", routes.find("A.Example", "/a/b/c")?.prefix)
+        assertEquals("/a/", routes.find("a.example", "/a/bc")?.prefix)
+        assertEquals("/", routes.find("a.example", "/b")?.prefix)
+        assertEquals(null, routes.find("b.example", "/a/b/c"))
+    }
+
+    @Test
+    fun `services of a split get requests in proportion to their weights`() {
+        val split = routeOf("/s/", plainService, Repetition.IDEMPOTENT).copy(
+            shares = listOf(ServiceShare(ServiceId("a"), 90), ServiceShare(ServiceId("b"), 10))
+        )
+        val chosen = (0L until 10_000L).map { chooseService(split, it) }
+        val second = chosen.count { it == ServiceId("b") }
+        assertTrue(second in 800..1200, "$second of 10,000")
+    }
+
+    @Test
+    fun `an endpoint gets the shorter of the caller's and the route's time`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.arrive("1", headOf("/plain/x", deadline = 5.seconds))
+        assertEquals(600.milliseconds, harness.sends.single().target.remaining)
+        harness.arrive("2", headOf("/plain/x", deadline = 50.milliseconds))
+        assertEquals(50.milliseconds, harness.sends.single().target.remaining)
+    }
+
+    @Test
+    fun `endpoints that leave and data centres that are out get nothing new`() {
+        val away = DataCentreId("away")
+        val harness = readyHarness(
+            endpointOf("e1", leaving = true),
+            endpointOf("e2", dataCentre = away)
+        )
+        harness.arrive("1")
+        assertEquals("e2", harness.sends.single().target.endpoint.value)
+        harness.change(PublishedRecord.DataCentreOut(away))
+        harness.arrive("2")
+        assertEquals(ErrorKind.NO_ENDPOINT, harness.refusals.single().failure.kind)
+        harness.change(PublishedRecord.DataCentreBack(away))
+        harness.arrive("3")
+        assertEquals("e2", harness.sends.single().target.endpoint.value)
+    }
+
+    /** All gateways together must not exceed what a cold endpoint can bear. */
+    @Test
+    fun `a cold endpoint gets this gateway's share of its rate`() {
+        val harness = readyHarness(endpointOf("e1", service = modelService, coldFor = 30.seconds))
+        val sent = (1..40).count {
+            harness.arrive("$it", headOf("/stream/x", prompt = 100))
+            harness.sends.isNotEmpty()
+        }
+        assertEquals(26, sent)
+        harness.advance(1100.milliseconds)
+        harness.arrive("later", headOf("/stream/x", prompt = 100))
+        assertEquals(1, harness.sends.size)
+    }
+}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/AttemptReducerTest.kt
@@ -0,0 +1,197 @@
+package org.gypsumroute.core.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.AttemptOutcome
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.ForwardEffect
+import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.RunState
+
+class AttemptReducerTest {
+    private val notRun = AttemptOutcome.NotRun(503, misdirected = false)
+    private val lost = AttemptOutcome.Lost("connection closed")
+
+    private fun GatewayHarness.refusal() = refusals.single().failure
+
+    /** A lost order may have run; a second one would print twice. */
+    @Test
+    fun `work that must run once is not sent again after it may have run`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.arrive("1", headOf("/order/x"))
+        harness.end("1", lost)
+        assertEquals(emptyList(), harness.sends)
+        assertEquals(ErrorKind.ENDPOINT_LOST, harness.refusal().kind)
+        assertEquals(502, harness.refusal().kind.httpStatus)
+        assertEquals(RunState.UNKNOWN, harness.refusal().runState)
+        assertEquals(null, harness.refusal().retryAfter)
+    }
+
+    @Test
+    fun `work that must run once goes to another endpoint if no endpoint ran it`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.arrive("1", headOf("/order/x"))
+        val first = harness.sends.single().target.endpoint
+        harness.end("1", notRun)
+        assertTrue(harness.sends.single().target.endpoint != first)
+        harness.end("1", notRun)
+        assertEquals(ErrorKind.ENDPOINT_REFUSED, harness.refusal().kind)
+        assertEquals(RunState.NOT_RUN, harness.refusal().runState)
+    }
+
+    @Test
+    fun `a refused connection does not count as a send`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"), endpointOf("e3"))
+        harness.arrive("1", headOf("/once/x"))
+        harness.end("1", AttemptOutcome.NeverSent("connect"))
+        assertEquals(1, harness.sends.size)
+        harness.end("1", AttemptOutcome.NeverSent("connect"))
+        assertEquals(1, harness.sends.size)
+        harness.end("1", AttemptOutcome.NeverSent("connect"))
+        assertEquals(RunState.NOT_RUN, harness.refusal().runState)
+    }
+
+    @Test
+    fun `a route with one attempt sends its request once`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.arrive("1", headOf("/once/x"))
+        harness.end("1", notRun)
+        assertEquals(emptyList(), harness.sends)
+        assertEquals(RunState.NOT_RUN, harness.refusal().runState)
+    }
+
+    @Test
+    fun `idempotent work is sent again after a failure and the last failure is passed on`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.arrive("1")
+        harness.end("1", AttemptOutcome.Failed(500))
+        assertEquals(1, harness.sends.size)
+        harness.end("1", AttemptOutcome.Failed(500))
+        assertTrue(ForwardEffect.RelayFailure(RequestId("1")) in harness.effects)
+        assertEquals(0, harness.state.requests.size)
+    }
+
+    /** The endpoint's failure is the better answer than an error of the gateway's own. */
+    @Test
+    fun `a held failure is passed on if the second endpoint did not run the request`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.arrive("1")
+        harness.end("1", AttemptOutcome.Failed(500))
+        harness.end("1", notRun)
+        assertTrue(ForwardEffect.RelayFailure(RequestId("1")) in harness.effects)
+    }
+
+    @Test
+    fun `a resumable stream that broke goes on elsewhere and another one is cut`() {
+        val harness = readyHarness(
+            endpointOf("e1", service = modelService),
+            endpointOf("e2", service = modelService)
+        )
+        harness.arrive("1", headOf("/stream/x", prompt = 1000))
+        harness.begin("1")
+        harness.end("1", AttemptOutcome.Broken("connection closed"))
+        assertEquals(1, harness.sends.size)
+        harness.end("1", AttemptOutcome.Broken("connection closed"))
+        assertTrue(ForwardEffect.Cut(RequestId("1")) in harness.effects)
+        harness.arrive("2", headOf("/fixed/x", prompt = 1000))
+        harness.begin("2")
+        harness.end("2", AttemptOutcome.Broken("connection closed"))
+        assertTrue(ForwardEffect.Cut(RequestId("2")) in harness.effects)
+    }
+
+    /** A stream that began and resumed without any further event must still look incomplete. */
+    @Test
+    fun `a stream that began is never answered with an error status`() {
+        val harness = readyHarness(
+            endpointOf("e1", service = modelService),
+            endpointOf("e2", service = modelService)
+        )
+        harness.arrive("1", headOf("/stream/x", prompt = 1000))
+        harness.begin("1")
+        harness.end("1", AttemptOutcome.Broken("connection closed"))
+        harness.end("1", notRun)
+        assertEquals(emptyList(), harness.refusals)
+        assertTrue(ForwardEffect.Cut(RequestId("1")) in harness.effects)
+    }
+
+    @Test
+    fun `at its deadline a request ends at once with what is known of its run`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.arrive("1")
+        harness.advance(601.milliseconds)
+        assertIs<ForwardEffect.Abandon>(harness.effects.first { it is ForwardEffect.Abandon })
+        assertEquals(ErrorKind.DEADLINE_EXCEEDED, harness.refusal().kind)
+        assertEquals(RunState.UNKNOWN, harness.refusal().runState)
+        assertEquals(0, harness.state.endpoints.getValue(EndpointId("e1")).work.size)
+    }
+
+    @Test
+    fun `a caller that leaves has its attempt abandoned and its work released`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.arrive("1")
+        harness.feed(ForwardEvent.CallerLeft(RequestId("1")))
+        assertEquals(1, harness.effects.filterIsInstance<ForwardEffect.Abandon>().size)
+        assertEquals(0, harness.state.requests.size)
+        assertEquals(0, harness.state.endpoints.getValue(EndpointId("e1")).work.size)
+    }
+
+    /** The address of a crashed endpoint may belong to another service by now. */
+    @Test
+    fun `an endpoint whose address answers for another one is not used again`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.arrive("1")
+        harness.end("1", AttemptOutcome.NotRun(421, misdirected = true))
+        harness.arrive("2")
+        assertEquals(ErrorKind.NO_ENDPOINT, harness.refusal().kind)
+    }
+
+    @Test
+    fun `an endpoint named as faulty counts as failing instead of the one that answered`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.arrive("1")
+        val used = harness.sends.single().target.endpoint
+        val other = if (used.value == "e1") "e2" else "e1"
+        harness.end("1", AttemptOutcome.NotRun(503, false, EndpointAddress(other, 80)))
+        val health = harness.state.endpoints.mapValues { it.value.health.failureShare(harness.now) }
+        assertTrue(health.getValue(EndpointId(other)) > 0.5)
+        assertEquals(0.0, health.getValue(used))
+    }
+
+    @Test
+    fun `repeats stop at the retry budget`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        var repeats = 0
+        repeat(100) {
+            harness.arrive("$it")
+            harness.end("$it", notRun)
+            if (harness.sends.isNotEmpty()) {
+                repeats++
+                harness.end("$it", AttemptOutcome.Completed(200, Duration.ZERO))
+            }
+        }
+        assertEquals(30, repeats)
+        harness.advance(12.seconds)
+        harness.arrive("later")
+        harness.end("later", notRun)
+        assertEquals(1, harness.sends.size)
+    }
+
+    @Test
+    fun `an event of an attempt that is over changes nothing`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.arrive("1")
+        val old = harness.state.requests.getValue(RequestId("1")).attempt!!.id
+        harness.end("1", notRun)
+        val before = harness.state.requests
+        harness.feed(ForwardEvent.AttemptEnded(RequestId("1"), old, lost))
+        assertEquals(before, harness.state.requests)
+    }
+}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ExchangeReducerTest.kt
@@ -0,0 +1,116 @@
+package org.gypsumroute.core.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.persistentSetOf
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EngineLoad
+import org.gypsumroute.api.ExchangeEffect
+import org.gypsumroute.api.ExchangeEvent
+import org.gypsumroute.api.GatewayReport
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.Revision
+
+class ExchangeReducerTest {
+    private val peer = EndpointAddress("10.0.0.2", 7000)
+    private val other = EndpointAddress("10.0.0.3", 7000)
+
+    private fun report(
+        sequence: Long,
+        loads: Map<EndpointId, EngineLoad> = emptyMap(),
+        members: List<EndpointAddress> = emptyList(),
+        incarnation: String = "1"
+    ) = ExchangeEvent.ReportReceived(
+        peer,
+        GatewayReport(
+            HostId("gateway-2"),
+            IncarnationId(incarnation),
+            sequence,
+            Revision.NONE,
+            storeAnswers = true,
+            loads = loads,
+            members = members
+        )
+    )
+
+    private fun GatewayHarness.reports() = effects.filterIsInstance<ExchangeEffect.SendReport>()
+
+    private fun GatewayHarness.seen(): EngineLoad {
+        arrive("probe", headOf("/stream/x", prompt = 100))
+        return questionFor(state, state.requests.values.last().copy(tried = none)).candidates
+            .single().load
+    }
+
+    private val none = persistentSetOf<EndpointId>()
+
+    @Test
+    fun `an unknown gateway is answered at once and those it names are tried`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.feed(report(1, members = listOf(other)))
+        assertEquals(setOf(peer, other), harness.reports().single().to.toSet())
+        assertEquals(setOf(peer), harness.state.exchange.members.keys.toSet())
+    }
+
+    /** Two gateways that do not see each other's work send both to the same engine. */
+    @Test
+    fun `work of other gateways counts until their reports are old`() {
+        val harness = readyHarness(endpointOf("e1", service = modelService))
+        val load = EngineLoad(open = 3, writers = 2, pendingRead = 900.milliseconds)
+        harness.feed(report(1, mapOf(EndpointId("e1") to load)))
+        harness.advance(400.milliseconds)
+        val seen = harness.seen()
+        assertEquals(4, seen.open)
+        assertTrue(seen.pendingRead in 500.milliseconds..510.milliseconds, "${seen.pendingRead}")
+        harness.advance(2.seconds)
+        assertEquals(1, harness.seen().open)
+    }
+
+    @Test
+    fun `a report that arrives late does not replace a newer one`() {
+        val harness = readyHarness(endpointOf("e1", service = modelService))
+        harness.feed(report(5, mapOf(EndpointId("e1") to EngineLoad(open = 2))))
+        harness.feed(report(4))
+        assertEquals(3, harness.seen().open)
+        harness.feed(report(1, incarnation = "2"))
+        assertEquals(1, harness.seen().open)
+    }
+
+    @Test
+    fun `changed work is reported soon and not more often than the interval`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.feed(report(1))
+        harness.advance(100.milliseconds)
+        harness.arrive("1")
+        assertEquals(1, harness.reports().single().report.loads.size)
+        harness.arrive("2")
+        assertEquals(emptyList(), harness.reports())
+        harness.advance(15.milliseconds)
+        assertEquals(2, harness.reports().single().report.loads.values.single().open)
+    }
+
+    @Test
+    fun `silent gateways stop counting for limits only after a while`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.feed(report(1))
+        assertEquals(2, harness.state.gateways)
+        harness.advance(10.seconds)
+        assertEquals(2, harness.state.gateways)
+        harness.advance(6.seconds)
+        assertEquals(1, harness.state.gateways)
+    }
+
+    @Test
+    fun `a gateway reports regularly without any work`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.feed(report(1))
+        harness.advance(Duration.ZERO)
+        harness.advance(1600.milliseconds)
+        assertEquals(3, harness.reports().size)
+    }
+}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -0,0 +1,282 @@
+/*
+ * A gateway's state driven by events in virtual time, and samples of what it reads.
+ */
+package org.gypsumroute.core.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.AttemptOutcome
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.CallerLimits
+import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EndpointRecord
+import org.gypsumroute.api.EngineFigures
+import org.gypsumroute.api.Event
+import org.gypsumroute.api.ForwardEffect
+import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.GatewayBounds
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.OrganisationId
+import org.gypsumroute.api.OrganisationKeys
+import org.gypsumroute.api.PublishedEvent
+import org.gypsumroute.api.PublishedRecord
+import org.gypsumroute.api.RegionId
+import org.gypsumroute.api.Repetition
+import org.gypsumroute.api.RequestHead
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.Revision
+import org.gypsumroute.api.Route
+import org.gypsumroute.api.RouteName
+import org.gypsumroute.api.RoutingTable
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.ServiceRule
+import org.gypsumroute.api.ServiceShare
+import org.gypsumroute.api.TableVersion
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.NodeIdentity
+import org.gypsumroute.core.Timings
+import org.gypsumroute.core.defaultPolicies
+import org.gypsumroute.core.reduce
+
+/** Feeds events and keeps the effects of the last one; timers fire as time advances. */
+internal class GatewayHarness(bounds: GatewayBounds = sampleBounds) {
+    var state: GatewayState = GatewayState(
+        common = CommonState(
+            NodeIdentity(
+                HostId("gateway-1"),
+                IncarnationId("gateway-1#1"),
+                NodeRole.GATEWAY,
+                RegionId("region"),
+                homeDataCentre
+            ),
+            Timings(),
+            defaultPolicies
+        ),
+        bounds = bounds,
+        policies = GatewayPolicies(ForwardPlacements.leastLoss),
+        exchange = ExchangeState(EndpointAddress("10.0.0.1", 7000), emptyList())
+    )
+        private set
+    var now: Moment = Moment.START
+        private set
+    private val timers = LinkedHashMap<TimerId, Moment>()
+    private var entropy = 0L
+
+    /** Effects of the last event fed. */
+    var effects: List<Effect> = emptyList()
+        private set
+
+    /** Sends among [effects]. */
+    val sends: List<ForwardEffect.Send> get() = effects.filterIsInstance<ForwardEffect.Send>()
+
+    /** Refusals among [effects]. */
+    val refusals: List<ForwardEffect.Refuse>
+        get() = effects.filterIsInstance<ForwardEffect.Refuse>()
+
+    fun feed(event: Event): List<Effect> {
+        step(RuntimeEvent.ClockRead(now, ++entropy))
+        effects = step(event)
+        return effects
+    }
+
+    private fun step(event: Event): List<Effect> {
+        val step = reduce(state, event)
+        state = step.state as GatewayState
+        for (effect in step.effects) {
+            if (effect is RuntimeEffect.SetTimer) timers[effect.timer] = now + effect.after
+            if (effect is RuntimeEffect.CancelTimer) timers.remove(effect.timer)
+        }
+        return step.effects
+    }
+
+    /** Lets time pass and fires the timers that come due, in order. */
+    fun advance(time: Duration): List<Effect> {
+        val end = now + time
+        val all = ArrayList<Effect>()
+        var next = nextTimer()
+        while (next != null && next.second <= end) {
+            timers.remove(next.first)
+            now = maxOf(now, next.second)
+            all += feed(RuntimeEvent.TimerFired(next.first))
+            next = nextTimer()
+        }
+        now = end
+        effects = all
+        return all
+    }
+
+    private fun nextTimer(): Pair<TimerId, Moment>? = timers.minByOrNull { it.value }?.toPair()
+
+    /** Jumps ahead without firing timers, as a paused process does. */
+    fun pause(time: Duration) {
+        now += time
+    }
+
+    /** Reads a table and endpoints from the store. */
+    fun publish(
+        table: RoutingTable?,
+        endpoints: List<EndpointRecord>,
+        revision: Long = state.published.revision.value + 1
+    ): List<Effect> = feed(
+        PublishedEvent.SnapshotRead(
+            null,
+            Revision(revision),
+            listOfNotNull(table?.let { PublishedRecord.Table(it) }) +
+                endpoints.map { PublishedRecord.Endpoint(it) }
+        )
+    )
+
+    /** Feeds changes of the next revision. */
+    fun change(vararg records: PublishedRecord): List<Effect> = feed(
+        PublishedEvent.ChangesRead(state.published.revision.next(), records.asList())
+    )
+
+    /** A request arrives. */
+    fun arrive(request: String, head: RequestHead = headOf("/plain/x")): List<Effect> =
+        feed(ForwardEvent.Arrived(RequestId(request), head, Bytes(0)))
+
+    /** The request's latest attempt ends. */
+    fun end(request: String, outcome: AttemptOutcome): List<Effect> {
+        val attempt = state.requests.getValue(RequestId(request)).attempt!!.id
+        return feed(ForwardEvent.AttemptEnded(RequestId(request), attempt, outcome))
+    }
+
+    /** The request's stream begins. */
+    fun begin(request: String): List<Effect> {
+        val attempt = state.requests.getValue(RequestId(request)).attempt!!.id
+        return feed(ForwardEvent.StreamBegun(RequestId(request), attempt))
+    }
+}
+
+private fun Revision.next() = Revision(value + 1)
+
+internal val homeDataCentre = DataCentreId("home")
+internal val plainService = ServiceId("plain")
+internal val modelService = ServiceId("model")
+internal const val KEY_DIGEST = "digest-1"
+
+internal val sampleBounds = GatewayBounds(
+    retryRatio = 0.2,
+    retryWindow = 10.seconds,
+    retryAllowance = 10,
+    coldFactor = 1.5,
+    coldAllowance = 5,
+    endpointReturn = 2500.milliseconds,
+    reservationHold = 3.seconds,
+    drainTime = 8.seconds
+)
+
+/** Figures in the size of a real engine: 20 ms to read 5,000 tokens, 43 ms a pass. */
+internal val sampleFigures = EngineFigures(
+    slots = 11,
+    memory = Tokens(450_000),
+    step = 925.microseconds,
+    stepPerWriter = 7.microseconds,
+    stepPerThousandContext = 2540.nanoseconds,
+    readPerToken = 3906.nanoseconds,
+    readPerMillionPairs = 91_700.nanoseconds,
+    chunk = 2048,
+    stepsPerPass = 46,
+    stepPerJointRead = 100.microseconds,
+    usualAnswer = Tokens(1500)
+)
+
+internal fun routeOf(
+    prefix: String,
+    service: ServiceId,
+    repetition: Repetition,
+    streaming: Boolean = false,
+    attempts: Int = 2,
+    public: Boolean = false
+) = Route(
+    name = RouteName(prefix),
+    hostName = "a.example",
+    prefix = prefix,
+    repetition = repetition,
+    streaming = streaming,
+    timeout = if (streaming) 10.seconds else 600.milliseconds,
+    objective = if (streaming) 300.milliseconds else 100.milliseconds,
+    gapObjective = if (streaming) 200.milliseconds else null,
+    priority = 1,
+    shares = listOf(ServiceShare(service, 1)),
+    attempts = attempts,
+    public = public
+)
+
+internal fun tableOf(version: Long, vararg routes: Route) = RoutingTable(
+    version = TableVersion(version),
+    routes = routes.asList(),
+    services = listOf(
+        ServiceRule(plainService, "/healthz", 100, 0.0, null),
+        ServiceRule(modelService, "/healthz", 100, 26.0, sampleFigures)
+    ).associateBy { it.service },
+    organisations = listOf(OrganisationKeys(OrganisationId("o"), setOf(KEY_DIGEST), null)),
+    limits = CallerLimits(16_384, 1_000_000, 3.seconds, 15.seconds)
+)
+
+internal val sampleTable = tableOf(
+    1,
+    routeOf("/plain/", plainService, Repetition.IDEMPOTENT),
+    routeOf("/order/", plainService, Repetition.AT_MOST_ONCE, attempts = 2),
+    routeOf("/once/", plainService, Repetition.AT_MOST_ONCE, attempts = 1),
+    routeOf("/open/", plainService, Repetition.IDEMPOTENT, public = true),
+    routeOf("/stream/", modelService, Repetition.RESUMABLE, streaming = true),
+    routeOf("/fixed/", modelService, Repetition.AT_MOST_ONCE, streaming = true)
+)
+
+internal fun endpointOf(
+    id: String,
+    service: ServiceId = plainService,
+    dataCentre: DataCentreId = homeDataCentre,
+    leaving: Boolean = false,
+    coldFor: Duration = Duration.ZERO,
+    born: Long = 1
+) = EndpointRecord(
+    id = EndpointId(id),
+    service = service,
+    address = EndpointAddress(id, 80),
+    dataCentre = dataCentre,
+    slots = if (service == modelService) 11 else 6,
+    leaving = leaving,
+    coldFor = coldFor,
+    born = born
+)
+
+internal fun headOf(
+    path: String,
+    key: String? = KEY_DIGEST,
+    prompt: Long? = null,
+    deadline: Duration? = null,
+    output: Long? = null
+) = RequestHead(
+    callerId = "caller-$path",
+    hostName = "a.example",
+    path = path,
+    keyDigest = key,
+    deadline = deadline,
+    promptTokens = prompt?.let { Tokens(it) },
+    outputLimit = output?.let { Tokens(it) },
+    expectedOutput = null,
+    resumed = false
+)
+
+/** A harness that has read [sampleTable] and these endpoints. */
+internal fun readyHarness(vararg endpoints: EndpointRecord): GatewayHarness =
+    GatewayHarness().apply {
+        feed(RuntimeEvent.Started)
+        publish(sampleTable, endpoints.asList())
+    }
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
@@ -0,0 +1,164 @@
+package org.gypsumroute.core.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.ExchangeEvent
+import org.gypsumroute.api.GatewayReport
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.PublishedEffect
+import org.gypsumroute.api.PublishedEvent
+import org.gypsumroute.api.PublishedRecord
+import org.gypsumroute.api.Revision
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.TableVersion
+
+class PublishedReducerTest {
+    private val down = PublishedEvent.ReadFailed(null, "503")
+
+    private fun GatewayHarness.known() = state.endpoints.keys.map { it.value }.toSet()
+
+    private fun report(revision: Long) = ExchangeEvent.ReportReceived(
+        EndpointAddress("10.0.0.2", 7000),
+        GatewayReport(
+            HostId("gateway-2"),
+            IncarnationId("gateway-2#1"),
+            revision,
+            Revision(revision),
+            storeAnswers = true,
+            loads = emptyMap(),
+            members = emptyList()
+        )
+    )
+
+    @Test
+    fun `a gateway is ready once it has a routing table`() {
+        val harness = GatewayHarness().apply { feed(RuntimeEvent.Started) }
+        assertTrue(PublishedEffect.ReadSnapshot in harness.effects)
+        harness.publish(null, listOf(endpointOf("e1")))
+        assertFalse(harness.state.common.ready)
+        harness.change(PublishedRecord.Table(sampleTable))
+        assertTrue(RuntimeEffect.SetReady(true) in harness.effects)
+    }
+
+    @Test
+    fun `reads follow each other and a watch goes on from the last revision`() {
+        val harness = readyHarness(endpointOf("e1"))
+        val watch = harness.effects.filterIsInstance<PublishedEffect.WatchChanges>().single()
+        assertEquals(harness.state.published.revision, watch.revision)
+        harness.change(PublishedRecord.Endpoint(endpointOf("e2")))
+        val next = harness.effects.filterIsInstance<PublishedEffect.WatchChanges>().single()
+        assertEquals(Revision(watch.revision.value + 1), next.revision)
+        assertEquals(setOf("e1", "e2"), harness.known())
+    }
+
+    @Test
+    fun `a lower table version never replaces a higher one`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.change(PublishedRecord.Table(sampleTable.copy(version = version(7))))
+        harness.change(PublishedRecord.Table(sampleTable.copy(version = version(5))))
+        assertEquals(version(7), harness.state.published.table?.version)
+    }
+
+    @Test
+    fun `a lost history leads to a full read that removes what is no longer listed`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.feed(PublishedEvent.HistoryLost)
+        assertTrue(PublishedEffect.ReadSnapshot in harness.effects)
+        harness.publish(sampleTable, listOf(endpointOf("e2")))
+        assertEquals(setOf("e2"), harness.known())
+    }
+
+    /** Records lapse while the store is down, and live endpoints register again on its return. */
+    @Test
+    fun `records removed around an outage have time to return`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"), endpointOf("e3"))
+        harness.feed(down)
+        harness.advance(4.seconds)
+        harness.change(
+            PublishedRecord.EndpointRemoved(EndpointId("e1")),
+            PublishedRecord.EndpointRemoved(EndpointId("e2"))
+        )
+        assertEquals(setOf("e1", "e2", "e3"), harness.known())
+        harness.advance(1.seconds)
+        harness.change(PublishedRecord.Endpoint(endpointOf("e1")))
+        harness.advance(2.seconds)
+        assertEquals(setOf("e1", "e3"), harness.known())
+    }
+
+    @Test
+    fun `a record removed on a calm day is gone at once`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.advance(1.seconds)
+        harness.change(PublishedRecord.EndpointRemoved(EndpointId("e1")))
+        assertEquals(setOf("e2"), harness.known())
+    }
+
+    @Test
+    fun `a failed read is repeated after a growing wait`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.feed(down)
+        assertEquals(
+            emptyList(),
+            harness.advance(90.milliseconds).filterIsInstance<PublishedEffect>()
+        )
+        assertEquals(1, harness.advance(20.milliseconds).filterIsInstance<PublishedEffect>().size)
+        repeat(20) { harness.feed(down) }
+        assertEquals(1, harness.advance(501.milliseconds).filterIsInstance<PublishedEffect>().size)
+    }
+
+    /** The store may turn one gateway away while it serves the others. */
+    @Test
+    fun `newer records come from a peer while the store does not answer`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.feed(report(revision = 9))
+        assertEquals(emptyList(), harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>())
+        harness.feed(down)
+        val asked = harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>().single()
+        assertEquals(HostId("gateway-2"), asked.peer)
+        harness.feed(
+            PublishedEvent.SnapshotRead(
+                HostId("gateway-2"),
+                Revision(9),
+                listOf(PublishedRecord.Table(sampleTable.copy(version = version(4))))
+            )
+        )
+        assertEquals(version(4), harness.state.published.table?.version)
+        assertEquals(Revision(9), harness.state.published.revision)
+        harness.feed(down)
+        assertEquals(emptyList(), harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>())
+    }
+
+    @Test
+    fun `a restarted gateway takes its first table from a peer if the store is down`() {
+        val harness = GatewayHarness().apply { feed(RuntimeEvent.Started) }
+        harness.feed(down)
+        harness.feed(report(revision = 9))
+        assertEquals(1, harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>().size)
+        harness.feed(
+            PublishedEvent.SnapshotRead(
+                HostId("gateway-2"),
+                Revision(9),
+                listOf(PublishedRecord.Table(sampleTable))
+            )
+        )
+        assertTrue(harness.state.common.ready)
+    }
+
+    @Test
+    fun `an endpoint reborn under its id begins without what was known of it`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.arrive("1")
+        harness.change(PublishedRecord.Endpoint(endpointOf("e1", born = 2)))
+        assertEquals(0, harness.state.endpoints.getValue(EndpointId("e1")).work.size)
+    }
+
+    private fun version(value: Long) = TableVersion(value)
+}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RetryBudgetTest.kt
@@ -0,0 +1,65 @@
+package org.gypsumroute.core.gateway
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import org.gypsumroute.api.Moment
+
+class RetryBudgetTest {
+    /**
+     * Guards against gateways that keep to a limit each but exceed it together: random gateways get
+     * random requests and repeat whenever their budget allows.
+     */
+    @Property(tries = 200)
+    fun `gateways together stay within the limit in every window`(
+        @ForAll seed: Long,
+        @ForAll @IntRange(min = 1, max = 5) gateways: Int
+    ) {
+        val random = Random(seed)
+        val budgets = MutableList(gateways) { RetryBudget() }
+        val requests = ArrayList<Moment>()
+        val repeats = ArrayList<Moment>()
+        var now = Moment.START
+        repeat(STEPS) {
+            now += random.nextInt(LONGEST_STEP).milliseconds
+            val gateway = random.nextInt(gateways)
+            if (random.nextInt(100) < 60) {
+                budgets[gateway] = budgets[gateway].withRequest(now)
+                requests += now
+            } else if (budgets[gateway].allows(now, 2.seconds, RATIO, ALLOWANCE / gateways)) {
+                budgets[gateway] = budgets[gateway].withRepeat(now)
+                repeats += now
+            }
+        }
+        for (end in repeats) {
+            val inWindow = repeats.count { end - it in 0.seconds..2.seconds }
+            val near = requests.count { end - it in 0.seconds..4.seconds }
+            assertTrue(inWindow <= RATIO * near + ALLOWANCE, "$inWindow repeats, $near requests")
+        }
+    }
+
+    @Test
+    fun `the allowance serves repeats while there are few requests`() {
+        var budget = RetryBudget()
+        var granted = 0
+        repeat(20) {
+            if (budget.allows(Moment.START, 2.seconds, RATIO, 5.0)) {
+                budget = budget.withRepeat(Moment.START)
+                granted++
+            }
+        }
+        assertTrue(granted == 5)
+    }
+
+    private companion object {
+        const val STEPS = 400
+        const val LONGEST_STEP = 200
+        const val RATIO = 0.2
+        const val ALLOWANCE = 6.0
+    }
+}
--- /dev/null
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallerConnectionTest.kt
@@ -0,0 +1,139 @@
+/*
+ * What callers may send, and the answers to what they may not.
+ */
+package org.gypsumroute.gateway
+
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import org.gypsumroute.api.CallerLimits
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.ForwardEffect
+import org.gypsumroute.api.ForwardEvent
+
+class CallerConnectionTest {
+    private val fixture = TrafficFixture()
+    private val strict = CallerLimits(1024, 1000, 200.milliseconds, 400.milliseconds)
+
+    @AfterTest
+    fun close() = fixture.close()
+
+    private fun refuse(arrived: ForwardEvent.Arrived) = fixture.execute(
+        ForwardEffect.Refuse(
+            arrived.request,
+            Failure(ErrorKind.OVERLOADED, "full", retryAfter = 250.milliseconds)
+        )
+    )
+
+    @Test
+    fun `a refusal names kind, run state and when to come back`() {
+        val caller = fixture.call(get("1"))
+        refuse(fixture.next())
+        val answer = caller.readMessage()
+        assertTrue(answer.startsWith("HTTP/1.1 503 "), answer)
+        assertContains(answer.lowercase(), "retry-after: 0.25\r\n")
+        assertContains(answer, "\"error\":\"overloaded\"")
+        assertContains(answer, "\"run\":\"not_run\"")
+    }
+
+    @Test
+    fun `requests that follow each other at once are answered in order`() {
+        val caller = fixture.call(get("1") + get("2"))
+        val first = fixture.next<ForwardEvent.Arrived>()
+        assertTrue(fixture.isQuiet())
+        refuse(first)
+        caller.readMessage()
+        refuse(fixture.next())
+        caller.readMessage()
+    }
+
+    @Test
+    fun `oversized headers and bodies are refused`() {
+        fixture.limit(strict)
+        val headers = fixture.call(get("1", more = "X-Long: ${"x".repeat(2000)}\r\n"))
+        assertTrue(headers.readMessage().startsWith("HTTP/1.1 431 "))
+        val long = fixture.call("POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n")
+        assertTrue(long.readMessage().startsWith("HTTP/1.1 413 "))
+        val chunks = fixture.call(
+            "POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                "7d0\r\n${"x".repeat(2000)}\r\n"
+        )
+        assertTrue(chunks.readMessage().startsWith("HTTP/1.1 413 "))
+    }
+
+    @Test
+    fun `headers and bodies that stall are refused as incomplete`() {
+        fixture.limit(strict)
+        val headers = fixture.call("GET /a/ HTTP/1.1\r\nHos")
+        assertTrue(headers.readMessage().startsWith("HTTP/1.1 408 "))
+        val body = fixture.call("POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc")
+        assertTrue(body.readMessage().startsWith("HTTP/1.1 408 "))
+    }
+
+    @Test
+    fun `an idle connection is closed after the limit and not before`() {
+        fixture.limit(strict)
+        val caller = fixture.call(get("1"))
+        refuse(fixture.next())
+        caller.readMessage()
+        Thread.sleep(300)
+        caller.write(get("2"))
+        refuse(fixture.next())
+        caller.readMessage()
+        assertEquals("", caller.readAll())
+    }
+
+    @Test
+    fun `bytes that are no HTTP are refused`() {
+        for (text in listOf("nonsense\r\n\r\n", "GET /a b HTTP/1.1\r\n\r\n")) {
+            val answer = fixture.call(text).readMessage()
+            assertTrue(answer.startsWith("HTTP/1.1 400 "), answer)
+        }
+    }
+
+    /** Two lengths let a second request hide inside the body of the first. */
+    @Test
+    fun `a request with two ideas of its length does not smuggle another one`() {
+        val caller = fixture.call(
+            "POST /a/ HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\nContent-Length: 3\r\n" +
+                "Content-Length: 40\r\n\r\nabcGET /b/ HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+        assertTrue(caller.readMessage().startsWith("HTTP/1.1 400 "))
+    }
+
+    @Test
+    fun `a caller that waits for leave to send its body gets it`() {
+        val caller = fixture.call(
+            "POST /a/ HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\nContent-Length: 2\r\n" +
+                "Expect: 100-continue\r\n\r\n"
+        )
+        assertTrue(caller.readTo("\r\n\r\n").startsWith("HTTP/1.1 100 "))
+        caller.write("hi")
+        assertEquals(2, fixture.next<ForwardEvent.Arrived>().bodyBytes.count)
+    }
+
+    @Test
+    fun `while draining answers close their connections and open requests are served`() {
+        val caller = fixture.call(get("1"))
+        val arrived = fixture.next<ForwardEvent.Arrived>()
+        fixture.traffic.drain()
+        val late = fixture.call(get("2"))
+        refuse(fixture.next())
+        assertContains(late.readMessage().lowercase(), "connection: close")
+        assertEquals("", late.readAll())
+        refuse(arrived)
+        assertContains(caller.readMessage().lowercase(), "connection: close")
+    }
+
+    @Test
+    fun `a caller without keep-alive gets its answer and the connection's end`() {
+        val caller = fixture.call(get("1", more = "Connection: close\r\n"))
+        refuse(fixture.next())
+        assertContains(caller.readMessage().lowercase(), "connection: close")
+        assertEquals("", caller.readAll())
+    }
+}
--- /dev/null
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/EventSplitterTest.kt
@@ -0,0 +1,51 @@
+package org.gypsumroute.gateway
+
+import io.netty.buffer.Unpooled
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+
+class EventSplitterTest {
+    private fun EventSplitter.addText(text: String): String =
+        add(Unpooled.copiedBuffer(text, Charsets.UTF_8))?.toString(Charsets.UTF_8).orEmpty()
+
+    @Test
+    fun `an event is given out when its blank line arrived`() {
+        val splitter = EventSplitter()
+        assertEquals("", splitter.addText("id: 7\ndata: a\n"))
+        assertTrue(splitter.holdsPart)
+        assertEquals("id: 7\ndata: a\n\n", splitter.addText("\nid: 8"))
+        assertEquals("7", splitter.lastEventId)
+    }
+
+    @Test
+    fun `lines may end with a carriage return`() {
+        val splitter = EventSplitter()
+        assertEquals("id: 1\r\ndata: a\r\n\r\n", splitter.addText("id: 1\r\ndata: a\r\n\r\n"))
+        assertEquals("1", splitter.lastEventId)
+    }
+
+    /** Guards against events lost or doubled where a read ends inside one. */
+    @Property(tries = 300)
+    fun `any split of a stream gives the same events`(@ForAll seed: Long) {
+        val random = Random(seed)
+        val stream = (1..10).joinToString("") {
+            "id: $it\ndata: ${"x".repeat(random.nextInt(9))}\n\n"
+        }
+        val splitter = EventSplitter()
+        var rest = stream
+        val seen = StringBuilder()
+        while (rest.isNotEmpty()) {
+            val part = rest.take(1 + random.nextInt(30))
+            rest = rest.drop(part.length)
+            val complete = splitter.addText(part)
+            assertTrue(complete.isEmpty() || complete.endsWith("\n\n"))
+            seen.append(complete)
+        }
+        assertEquals(stream, seen.toString())
+        assertEquals("10", splitter.lastEventId)
+    }
+}
--- /dev/null
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -0,0 +1,224 @@
+/*
+ * A gateway's traffic on loopback between raw sockets, with a test in place of the reducer.
+ */
+package org.gypsumroute.gateway
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.test.assertNotNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.AttemptId
+import org.gypsumroute.api.CallerLimits
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.Event
+import org.gypsumroute.api.ForwardEffect
+import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.ForwardTarget
+import org.gypsumroute.api.Repetition
+import org.gypsumroute.api.RequestHead
+import org.gypsumroute.api.RequestId
+
+/** Traffic with plain header names, so that tests read like HTTP. */
+internal class TrafficFixture : AutoCloseable {
+    private val loop = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val events = LinkedBlockingQueue<Event>()
+    private val open = ArrayList<AutoCloseable>()
+    val traffic = ForwardTraffic(loop, testCodec) { events += it }
+    private val port = traffic.listen(InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).port
+    private var nextAttempt = 1L
+
+    /** The next event; fails if none comes. */
+    inline fun <reified E : Event> next(): E {
+        val event = assertNotNull(events.poll(WAIT_SECONDS, TimeUnit.SECONDS), "no event")
+        return event as? E ?: error("unexpected $event")
+    }
+
+    /** Whether no event comes for a moment. */
+    fun isQuiet(time: Duration = 150.milliseconds): Boolean =
+        events.poll(time.inWholeMilliseconds, TimeUnit.MILLISECONDS) == null
+
+    fun execute(effect: ForwardEffect) = traffic.execute(effect)
+
+    fun limit(limits: CallerLimits) {
+        execute(ForwardEffect.SetCallerLimits(limits))
+        loop.submit { }.sync()
+    }
+
+    fun call(request: String): RawConnection =
+        RawConnection(Socket(InetAddress.getLoopbackAddress(), port)).also {
+            open += it
+            it.write(request)
+        }
+
+    fun endpoint(script: (RawConnection) -> Unit): StubEndpoint =
+        StubEndpoint(script).also { open += it }
+
+    /** Sends the request that arrived to [endpoint]. */
+    fun send(
+        arrived: ForwardEvent.Arrived,
+        endpoint: EndpointAddress,
+        streaming: Boolean = false,
+        repetition: Repetition = Repetition.IDEMPOTENT,
+        remaining: Duration = 5.seconds,
+        firstByteLimit: Duration = 5.seconds,
+        gapLimit: Duration = 5.seconds
+    ): AttemptId {
+        val attempt = AttemptId(nextAttempt++)
+        execute(
+            ForwardEffect.Send(
+                arrived.request,
+                attempt,
+                ForwardTarget(
+                    EndpointId("e1"),
+                    endpoint,
+                    null,
+                    remaining,
+                    null,
+                    emptyList(),
+                    streaming,
+                    repetition,
+                    firstByteLimit,
+                    gapLimit
+                )
+            )
+        )
+        return attempt
+    }
+
+    fun endOf(request: RequestId): ForwardEvent.AttemptEnded =
+        next<ForwardEvent.AttemptEnded>().also { check(it.request == request) }
+
+    override fun close() {
+        open.forEach { it.close() }
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+    }
+
+    companion object {
+        const val WAIT_SECONDS = 5L
+    }
+}
+
+/** A listener that runs [script] for each connection and records it. */
+internal class StubEndpoint(private val script: (RawConnection) -> Unit) : AutoCloseable {
+    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    val address = EndpointAddress("127.0.0.1", listener.localPort)
+    val connections = LinkedBlockingQueue<RawConnection>()
+
+    init {
+        thread(isDaemon = true) {
+            while (!listener.isClosed) {
+                val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                val connection = RawConnection(socket)
+                connections += connection
+                thread(isDaemon = true) { runCatching { script(connection) } }
+            }
+        }
+    }
+
+    override fun close() {
+        listener.close()
+        connections.forEach { it.close() }
+    }
+}
+
+/** One side of a connection, as text. */
+internal class RawConnection(private val socket: Socket) : AutoCloseable {
+    private val input: InputStream = socket.getInputStream()
+
+    init {
+        socket.soTimeout = TimeUnit.SECONDS.toMillis(TrafficFixture.WAIT_SECONDS).toInt()
+        socket.tcpNoDelay = true
+    }
+
+    fun write(text: String) {
+        socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
+        socket.getOutputStream().flush()
+    }
+
+    /** Reads up to and with [end]. */
+    fun readTo(end: String): String = buildString {
+        while (!endsWith(end)) {
+            val byte = input.read()
+            if (byte < 0) return@buildString
+            append(byte.toChar())
+        }
+    }
+
+    /** Reads headers and a body of the length that they name. */
+    fun readMessage(): String {
+        val head = readTo("\r\n\r\n")
+        val length = Regex("(?i)content-length: (\\d+)").find(head)?.groupValues?.get(1)?.toInt()
+        return head + String(input.readNBytes(length ?: 0), Charsets.ISO_8859_1)
+    }
+
+    /** Reads to the connection's end; null if it was reset. */
+    fun readAll(): String? =
+        runCatching { String(input.readAllBytes(), Charsets.ISO_8859_1) }.getOrNull()
+
+    /** Closes so that the peer sees a reset. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
+    fun finishWriting() = socket.shutdownOutput()
+
+    override fun close() = socket.close()
+}
+
+internal val testCodec = ForwardCodec(
+    readHead = { line, header ->
+        RequestHead(
+            callerId = header("X-Id").orEmpty(),
+            hostName = header("Host").orEmpty(),
+            path = line.target.substringBefore('?'),
+            keyDigest = header("X-Key"),
+            deadline = header("X-Deadline")?.toLong()?.milliseconds,
+            promptTokens = null,
+            outputLimit = null,
+            expectedOutput = null,
+            resumed = false
+        )
+    },
+    attemptHeaders = { target, remaining ->
+        listOf(
+            HeaderField("X-Deadline", remaining.inWholeMilliseconds.toString()),
+            HeaderField("X-Endpoint", target.endpoint.value)
+        )
+    },
+    withheldHeaders = setOf("x-key", "x-deadline"),
+    readAnswer = { status, header ->
+        AnswerHead(
+            callerId = header("X-Id"),
+            signed = header("X-Signature") != null,
+            notRun = header("X-Not-Run") != null,
+            misdirected = status == 421,
+            faulty = null
+        )
+    }
+)
+
+/** A complete answer of an endpoint to the request with this id. */
+internal fun answerTo(id: String, body: String = "hello", status: String = "200 OK"): String =
+    "HTTP/1.1 $status\r\nX-Id: $id\r\nX-Signature: s\r\nContent-Length: ${body.length}\r\n\r\n$body"
+
+/** The head of an event stream without its end. */
+internal fun streamTo(id: String): String =
+    "HTTP/1.1 200 OK\r\nX-Id: $id\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\n" +
+        "Transfer-Encoding: chunked\r\n\r\n"
+
+internal fun chunk(text: String): String = "${text.length.toString(16)}\r\n$text\r\n"
+
+internal fun get(id: String, path: String = "/a/b", more: String = ""): String =
+    "GET $path HTTP/1.1\r\nHost: a.example\r\nX-Id: $id\r\n$more\r\n"
