Price what an engine's backlog delays, and give up on unreachable endpoints

Cause: a placement looked only at tokens that wait. Parts read for other prompts go ahead of an engine's own prompts, so engines that helped all the time starved their own requests.

Change: the model keeps a backlog per engine (unread, read sent, help sent) which travels in the reports; costs of a placement stand in PlacementCosts; an endpoint that cannot be connected to is suspended; the retry budget counts a strict window and grows over the first window after a start; the gap limit follows the expected gap. PeerTransport.stop waits for the end of its selector (a port was still bound after stop).

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/EngineLoad.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/EngineLoad.kt
@@ -3,31 +3,36 @@
 import kotlin.time.Duration
 
 /**
- * The work at one endpoint as far as it is known.
+ * One gateway's work at one endpoint.
  *
- * [open] counts requests that hold or wait for a slot, [writers] those that write already.
- * [pendingRead] is prompt reading that is not done, [context] the tokens held. [stakes] tell what
- * is lost if a pass takes longer than the pauses that writers bear.
+ * [open] counts requests that hold or wait for a slot, [writers] those that write already, and
+ * [context] the tokens held. [unread] is the reading time of prompts and parts that are not known
+ * to be read. [readSent] and [helpSent] add up the reading time of all own prompts and of all parts
+ * for others that were ever sent there, so that a receiver knows what was added since the last
+ * report. [urgency] is what a second of delay costs its unread requests. [stakes] tell what is lost
+ * if a pass takes longer than the pauses that writers bear.
  */
 data class EngineLoad(
     val open: Int = 0,
     val writers: Int = 0,
-    val pendingRead: Duration = Duration.ZERO,
     val context: Long = 0,
+    val unread: Duration = Duration.ZERO,
+    val readSent: Duration = Duration.ZERO,
+    val helpSent: Duration = Duration.ZERO,
+    val urgency: Double = 0.0,
     val stakes: List<Stake> = emptyList()
 ) {
     operator fun plus(other: EngineLoad): EngineLoad = EngineLoad(
         open + other.open,
         writers + other.writers,
-        pendingRead + other.pendingRead,
         context + other.context,
+        unread + other.unread,
+        readSent + other.readSent,
+        helpSent + other.helpSent,
+        urgency + other.urgency,
         merged(stakes + other.stakes)
     )
 
-    /** This load some time later, if nothing else is known. */
-    fun after(elapsed: Duration): EngineLoad =
-        copy(pendingRead = (pendingRead - elapsed).coerceAtLeast(Duration.ZERO))
-
     companion object {
         /** Adds up the stakes that bear the same pause. */
         fun merged(stakes: List<Stake>): List<Stake> = if (stakes.size < 2) {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -10,6 +10,7 @@
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Moment
 import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
@@ -97,10 +98,22 @@
         state.common.now,
         bounds.retryWindow,
         bounds.retryRatio,
-        bounds.retryAllowance.toDouble() / state.gateways
+        allowanceOf(state)
     )
 }
 
+/**
+ * This gateway's share of the fixed allowance. What a process repeated before a restart still
+ * counts, so the share grows over the first window.
+ */
+private fun allowanceOf(state: GatewayState): Double {
+    val grown = ((state.common.now - Moment.START) / state.bounds.retryWindow).coerceAtMost(1.0)
+    return state.bounds.retryAllowance * ALLOWANCE_SHARE * grown / state.gateways
+}
+
+/** Part of the allowance that is used; the rest covers gateways that are not known yet. */
+private const val ALLOWANCE_SHARE = 0.8
+
 private fun noteOutcome(
     state: GatewayState,
     attempt: Attempt,
@@ -112,27 +125,27 @@
     endpoints[attempt.endpoint]?.let { endpoint ->
         val misdirected = outcome is AttemptOutcome.NotRun && outcome.misdirected
         val noted = endpoint.copy(
-            health = endpoint.health.after(now, failureWeight(outcome)),
+            health = healthAfter(endpoint.health, now, outcome),
             misdirected = endpoint.misdirected || (misdirected && faulty == null)
         )
         endpoints = endpoints.put(attempt.endpoint, noted)
     }
-    val blamed = endpoints.values.find { it.record.address == faulty }
-    if (blamed != null) {
-        val health = blamed.health.after(now, SURE_FAILURE)
+    endpoints.values.find { it.record.address == faulty }?.let { blamed ->
+        val health = blamed.health.afterSilence(now)
         endpoints = endpoints.put(blamed.record.id, blamed.copy(health = health))
     }
     return state.copy(endpoints = endpoints)
 }
 
-/** How much an outcome tells against the endpoint, from 0 to 1. */
-private fun failureWeight(outcome: AttemptOutcome): Double = when (outcome) {
-    is AttemptOutcome.Completed -> 0.0
-    is AttemptOutcome.NotRun -> 0.0
-    is AttemptOutcome.Failed -> 1.0
-    is AttemptOutcome.NeverSent -> SURE_FAILURE
-    is AttemptOutcome.Lost -> SURE_FAILURE
-    is AttemptOutcome.Broken -> SURE_FAILURE
+private fun healthAfter(
+    health: EndpointHealth,
+    now: Moment,
+    outcome: AttemptOutcome
+): EndpointHealth = when (outcome) {
+    is AttemptOutcome.Completed, is AttemptOutcome.NotRun -> health.afterAnswer(now)
+    is AttemptOutcome.Failed -> health.afterFailure(now)
+    is AttemptOutcome.Lost, is AttemptOutcome.Broken -> health.afterSilence(now)
+    is AttemptOutcome.NeverSent -> health.afterUnreachable(now)
 }
 
 private fun mayHaveRun(outcome: AttemptOutcome): Boolean = when (outcome) {
@@ -160,6 +173,4 @@
         "faulty" to (outcome as? AttemptOutcome.NotRun)?.faulty
     )
 
-/** Weight of failures that no sound endpoint shows, such as a refused connection. */
-private const val SURE_FAILURE = 2.0
 private val SHORTEST_ATTEMPT: Duration = 20.milliseconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
@@ -11,7 +11,8 @@
 
 /**
  * One published endpoint and this gateway's work there. Cold until [coldUntil]; [misdirected] once
- * another endpoint answered at its address.
+ * another endpoint answered at its address. [backlog] counts the work of all gateways, [readSent]
+ * and [helpSent] add up this one's.
  */
 data class EndpointState(
     val record: EndpointRecord,
@@ -19,7 +20,10 @@
     val work: PersistentMap<RequestId, EndpointWork> = persistentMapOf(),
     val health: EndpointHealth = EndpointHealth(),
     val coldSends: SendWindow = SendWindow(),
-    val misdirected: Boolean = false
+    val misdirected: Boolean = false,
+    val backlog: Backlog = Backlog(),
+    val readSent: Duration = Duration.ZERO,
+    val helpSent: Duration = Duration.ZERO
 ) {
     /** The prompt of a request was read: its helpers are done and its endpoint writes. */
     fun afterReading(request: RequestId): EndpointState {
@@ -32,23 +36,32 @@
         return copy(work = left)
     }
 
+    /** Notes work that this gateway sends there. */
+    fun withWork(request: RequestId, sent: EndpointWork, now: Moment): EndpointState {
+        val read = if (sent.helping) Duration.ZERO else sent.readTime
+        val help = if (sent.helping) sent.readTime else Duration.ZERO
+        return copy(
+            work = work.put(request, sent),
+            backlog = backlog.plus(now, read, help),
+            readSent = readSent + read,
+            helpSent = helpSent + help
+        )
+    }
+
     /** The load that this gateway put there. */
-    fun load(now: Moment): EngineLoad {
-        if (work.isEmpty()) return EngineLoad()
-        val items = work.values.sortedBy { it.sentAt }
-        var readEnd = now
-        var begin = Moment.START
-        for (item in items) {
-            if (item.writing) continue
-            begin = maxOf(begin, item.sentAt) + item.readTime
-            readEnd = maxOf(readEnd, begin)
-        }
-        val running = items.filterNot { it.helping }
+    fun load(): EngineLoad {
+        val running = work.values.filterNot { it.helping }
         return EngineLoad(
             open = running.size,
             writers = running.count { it.writing },
-            pendingRead = readEnd - now,
-            context = items.sumOf { it.context },
+            context = work.values.sumOf { it.context },
+            unread = work.values.filterNot { it.writing }
+                .fold(Duration.ZERO) { sum, part -> sum + part.readTime },
+            readSent = readSent,
+            helpSent = helpSent,
+            urgency = running.filterNot {
+                it.writing
+            }.sumOf { it.value / it.objective.toSeconds() },
             stakes = EngineLoad.merged(running.map { Stake(it.gap, it.value) })
         )
     }
@@ -64,6 +77,7 @@
     val sentAt: Moment,
     val readTime: Duration,
     val context: Long,
+    val objective: Duration,
     val gap: Duration,
     val value: Double,
     val helping: Boolean = false,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EngineModel.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EngineModel.kt
@@ -52,4 +52,6 @@
     }
 }
 
+internal fun Duration.toSeconds(): Double = toDouble(DurationUnit.SECONDS)
+
 internal fun Duration.toMilliseconds(): Double = toDouble(DurationUnit.MILLISECONDS)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
@@ -13,35 +13,47 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.EndpointId
-import org.gypsumroute.api.EngineLoad
+import org.gypsumroute.api.EngineFigures
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.core.stableHash
 
 /** The choice with the smallest predicted loss, or null without candidates. */
-internal fun placeAtEngines(question: ForwardQuestion): ForwardChoice? {
-    val figures = question.figures ?: return null
-    return EnginePlacement(question, EngineModel(figures)).best()
-}
+internal fun placeAtEngines(
+    question: ForwardQuestion,
+    figures: EngineFigures,
+    costs: PlacementCosts
+): ForwardChoice? = EnginePlacement(question, EngineModel(figures), costs).best()
 
-/** One decision; engines compare alike for all gateways. */
+/** One decision. Times are in milliseconds. */
 private class EnginePlacement(
     private val question: ForwardQuestion,
-    private val model: EngineModel
+    private val model: EngineModel,
+    private val costs: PlacementCosts
 ) {
     private val size = question.size
-    private val readTime = model.readTime(Tokens(size.prompt))
+    private val value = size.value
+    private val readTime = model.readTime(Tokens(size.prompt)).toMilliseconds()
+    private val gap = question.gap.toMilliseconds()
+    private val objective = question.objective.toMilliseconds().coerceAtLeast(1.0)
+    private val remaining = question.remaining.toMilliseconds()
 
     /** Whether the whole prompt can be read within one pass without harm to streams like it. */
-    private val short = readTime + model.passTime(1, size.context) <= question.gap * SHORT_SHARE
-    private val objective = question.objective.coerceAtLeast(SHORTEST)
-    private val engines = question.candidates.map { Engine(it) }
+    private val short =
+        readTime + model.passTime(1, size.context).toMilliseconds() <= gap * SHORT_SHARE
+    private val engines = question.candidates
+        .sortedBy { stableHash(it.record.id.value) }
+        .mapIndexed { index, candidate ->
+            Engine(candidate, index.toDouble() / question.candidates.size)
+        }
 
     fun best(): ForwardChoice? {
         val alone = engines.minByOrNull { lossOf(listOf(it)) } ?: return null
+        if (!alone.fits && engines.none { it.fits }) return acrossEngines()
         var chosen = listOf(alone)
         var loss = lossOf(chosen)
-        if (!short || loss > WORTH_HELP * size.value) {
+        if (!short || loss > WORTH_HELP * value) {
             for (count in 2..minOf(engines.size, MOST_READERS)) {
                 val group = groupOf(count)
                 val groupLoss = lossOf(group)
@@ -51,31 +63,34 @@
                 }
             }
         }
-        return if (chosen.first().fits) choiceOf(chosen, emptyMap()) else acrossEngines()
+        return choiceOf(chosen, emptyMap())
     }
 
-    /** The engines that read a part of this size with the least harm, the roomiest one first. */
+    /** The engines that read a part of this size with the least loss. */
     private fun groupOf(count: Int): List<Engine> {
-        val readers = engines.sortedBy { it.readingLoss(readTime / count) }.take(count)
-        val first = readers.minBy { it.runningLoss() }
-        return listOf(first) + readers.filter { it !== first }
+        val part = readTime / count
+        val first = engines.minBy { it.mainLoss(part) }
+        engines.forEach { it.rating = it.helpLoss(part) }
+        val helpers = engines.filter { it !== first }.sortedBy { it.rating }.take(count - 1)
+        return listOf(first) + helpers
     }
 
     /** Holds the prompt in the memory of several engines; null if that of all is not enough. */
     private fun acrossEngines(): ForwardChoice? {
         val byRoom = engines.sortedByDescending { it.room }
-        val first = byRoom.firstOrNull() ?: return null
+        val first = byRoom.first()
         var missing = size.context - first.room
         val reserved = LinkedHashMap<EndpointId, Tokens>()
         for (engine in byRoom.drop(1)) {
             if (missing <= 0) break
             val taken = minOf(engine.room, missing)
-            reserved[engine.candidate.record.id] = Tokens(taken)
+            reserved[engine.id] = Tokens(taken)
             missing -= taken
         }
         if (missing > 0 || reserved.isEmpty()) return null
         val holders = byRoom.drop(1).take(reserved.size)
-        val others = byRoom.drop(1 + reserved.size).sortedBy { it.readingLoss(Duration.ZERO) }
+        val part = readTime / MOST_READERS
+        val others = byRoom.drop(1 + reserved.size).sortedBy { it.helpLoss(part) }
         val groups = (0..minOf(others.size, MOST_READERS - 1 - holders.size))
             .map { listOf(first) + holders + others.take(it) }
         return choiceOf(groups.minBy { lossOf(it) }, reserved)
@@ -83,92 +98,115 @@
 
     private fun choiceOf(group: List<Engine>, reservations: Map<EndpointId, Tokens>) =
         ForwardChoice(
-            endpoint = group.first().candidate.record.id,
-            helpers = group.drop(1).map { it.candidate.record.id },
-            readTime = readTime / group.size,
-            firstByte = firstByte(group),
+            endpoint = group.first().id,
+            helpers = group.drop(1).map { it.id },
+            readTime = (readTime / group.size).milliseconds,
+            firstByte = firstByte(group).milliseconds,
             reservations = reservations
         )
 
     private fun lossOf(group: List<Engine>): Double {
         val part = readTime / group.size
         val first = group.first()
-        val harm = group.sumOf { it.harm(part) }
-        return ownLoss(firstByte(group)) + harm + first.runningLoss() +
-            group.sumOf { it.preference + it.failureLoss } + (group.size - 1) * HELPER_COST
+        return ownLoss(firstByte(group)) + first.readingLoss(part) + first.runningLoss +
+            group.sumOf { if (it === first) 0.0 else it.helpLoss(part) }
     }
 
-    private fun ownLoss(firstByte: Duration): Double = size.value * when {
-        firstByte >= question.remaining -> 1.0
-        else -> LATE_LOSS * lateShare(firstByte / objective)
+    /** Grows with any wait, so that the shortest one is chosen also where all are too long. */
+    private fun ownLoss(firstByte: Double): Double {
+        val ratio = firstByte / objective
+        val left = if (firstByte >= remaining) 1.0 else (ratio / costs.patience).coerceAtMost(1.0)
+        return value * (
+            costs.lateLoss * lateShare(ratio) + (1 - costs.lateLoss) * left * left +
+                costs.waiting * ratio
+            )
     }
 
-    private fun firstByte(group: List<Engine>): Duration {
+    private fun firstByte(group: List<Engine>): Double {
         val part = readTime / group.size
         val passes = model.passesFor(size.prompt / group.size)
-        return group.maxOf { it.load.pendingRead + part + it.pass * (passes - 1.0) } +
-            group.first().let { it.pass * FIRST_PASSES + it.slotWait }
+        val first = group.first()
+        val read = group.maxOf { engine ->
+            val wait = if (engine === first) {
+                (engine.pending + part) * engine.stretch
+            } else {
+                engine.helpPending + part
+            }
+            wait + engine.pass * (passes - 1)
+        }
+        return read + first.pass * costs.firstPasses + first.slotWait
     }
 
-    private inner class Engine(val candidate: ForwardCandidate) {
-        val load: EngineLoad = candidate.load
-        val pass: Duration =
-            model.passTime(load.writers.coerceAtLeast(1), load.context + size.context)
-        val failureLoss: Double = candidate.failureShare * size.value
+    /** Share of streams that are late when the expected time is this share of the limit. */
+    private fun lateShare(ratio: Double): Double =
+        ((ratio - costs.inTimeShare) / (costs.lateShare - costs.inTimeShare)).coerceIn(0.0, 1.0)
+
+    /** [rank] is the place in the order that all gateways share, from 0 to 1. */
+    private inner class Engine(candidate: ForwardCandidate, private val rank: Double) {
+        val id: EndpointId = candidate.record.id
+        private val load = candidate.load
+        val pending: Double = candidate.backlog.total.toMilliseconds()
+        val helpPending: Double = candidate.backlog.help.toMilliseconds()
+
+        /** How much longer own prompts take because parts for others come in between. */
+        val stretch: Double =
+            1 / (1 - costs.helpWeight * candidate.backlog.helpShare.coerceAtMost(MOST_HELP))
+        val pass: Double = model.passTime(load.writers + 1, load.context + size.context)
+            .toMilliseconds()
 
         /** Tokens that still fit; a part of the memory stays free for streams that grow. */
         val room: Long = ((model.memory * FULL_MEMORY).toLong() - load.context).coerceAtLeast(0)
         val fits: Boolean = size.context <= room
 
         /** Wait for a slot if all are taken. */
-        val slotWait: Duration = model.writeTime(TYPICAL_OUTPUT, pass) *
-            ((load.open + 1.0 - model.slots).coerceAtLeast(0.0) / model.slots)
+        val slotWait: Double = costs.slotWait * model.writeTime(TYPICAL_OUTPUT, pass.milliseconds)
+            .toMilliseconds() * (load.open + 1.0 - model.slots).coerceAtLeast(0.0) / model.slots
 
-        /** Prefers the same engines at all gateways; a small number, which decides ties. */
-        val preference: Double = preferenceOf()
+        private val failureLoss: Double = candidate.failureShare * value
+        private val preference: Double = preferenceOf(candidate.record.dataCentre)
+
+        /** Loss of letting the request run here, beyond the reading. */
+        val runningLoss: Double = (if (fits) 0.0 else value * CROWDED_LOSS) +
+            value * costs.lateLoss * lateShare((pass + pending * costs.overlap) / gap)
+
+        /** Last result of [helpLoss], for sorting. */
+        var rating: Double = 0.0
+
+        /** Loss of letting the request run here and read a part, with what its wait costs. */
+        fun mainLoss(part: Double): Double = readingLoss(part) + runningLoss +
+            value * costs.lateLoss * lateShare(((pending + part) * stretch + slotWait) / objective)
+
+        /** Loss of reading a part for another engine, which own prompts have to wait for. */
+        fun helpLoss(part: Double): Double = readingLoss(part) + costs.helper +
+            costs.delay * load.urgency * part / MILLISECONDS
+
+        /** Loss of letting this engine read a part that takes [part]. */
+        fun readingLoss(part: Double): Double {
+            val backlog = (pending + part) / MILLISECONDS
+            val before = pending / MILLISECONDS
+            return harm(part) + failureLoss + preference +
+                costs.crowding * (backlog * backlog - before * before)
+        }
 
         /** Credit of the engine's streams lost because a pass also reads [part]. */
-        fun harm(part: Duration): Double {
-            val before = pass + load.pendingRead
-            val after = before + part
+        private fun harm(part: Double): Double {
+            val before = pass + pending
             return load.stakes.sumOf { stake ->
-                val added = lateShare(after / stake.gap) - lateShare(before / stake.gap)
-                stake.value * LATE_LOSS * added
+                val limit = stake.gap.toMilliseconds()
+                val added = lateShare((before + part) / limit) - lateShare(before / limit)
+                stake.value * costs.lateLoss * added
             }
         }
 
-        /** Loss of letting this engine read a part. */
-        fun readingLoss(part: Duration): Double = harm(part) + failureLoss +
-            size.value * READ_WAIT_COST *
-            (load.pendingRead / question.objective.coerceAtLeast(SHORTEST))
-
-        /** Loss of letting the request run here, beyond the reading. */
-        fun runningLoss(): Double {
-            val crowded = if (fits) 0.0 else size.value * CROWDED_LOSS
-            val pauses = lateShare((pass + load.pendingRead * OVERLAP) / question.gap)
-            return crowded + size.value * LATE_LOSS * pauses
-        }
-
-        private fun preferenceOf(): Double {
-            val record = candidate.record
-            val rank = Math.floorMod(stableHash(record.id.value), RANKS).toDouble() / RANKS
-            val away = if (record.dataCentre == question.ownDataCentre) 0.0 else AWAY_COST
-            val order = if (short) rank else 1 - rank
-            val packed = if (short &&
-                load.writers >= PACKED_SHARE * model.slots
-            ) {
-                PACKED_COST
-            } else {
-                0.0
-            }
-            return order * ORDER_COST + away + packed
+        /** A small number that prefers the same engines at all gateways. */
+        private fun preferenceOf(dataCentre: DataCentreId): Double {
+            val away = if (dataCentre == question.ownDataCentre) 0.0 else costs.away
+            val full = short && load.writers >= costs.packedShare * model.slots
+            return (if (short) rank else 1 - rank) * costs.order + away +
+                (if (full) costs.packed else 0.0)
         }
     }
 
-    /** Share of streams that are late when the expected time is this share of the limit. */
-    private fun lateShare(ratio: Double): Double =
-        ((ratio - CERTAIN_IN_TIME) / (CERTAIN_LATE - CERTAIN_IN_TIME)).coerceIn(0.0, 1.0)
-
     private companion object {
         /** A prompt is short if its reading leaves that share of the pause to others. */
         const val SHORT_SHARE = 0.8
@@ -178,27 +216,10 @@
 
         /** The most engines that read one prompt: itself and as many helpers as a request names. */
         const val MOST_READERS = 17
-
-        /** Share of the value that a late answer loses. */
-        const val LATE_LOSS = 0.75
-        const val CERTAIN_IN_TIME = 0.75
-        const val CERTAIN_LATE = 1.15
-
-        /** A first event comes after the rest of a pass and one of its own. */
-        const val FIRST_PASSES = 1.5
         const val TYPICAL_OUTPUT = 1500L
         const val FULL_MEMORY = 0.95
         const val CROWDED_LOSS = 0.5
-
-        /** Share of pending reads that falls into one pass of a new stream. */
-        const val OVERLAP = 0.5
-        const val READ_WAIT_COST = 0.05
-        const val HELPER_COST = 0.004
-        const val ORDER_COST = 0.01
-        const val AWAY_COST = 0.003
-        const val PACKED_SHARE = 0.7
-        const val PACKED_COST = 0.02
-        const val RANKS = 1024L
-        val SHORTEST = 1.milliseconds
+        const val MOST_HELP = 0.9
+        const val MILLISECONDS = 1000.0
     }
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -7,6 +7,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.EngineLoad
@@ -14,7 +16,6 @@
 import org.gypsumroute.api.ExchangeEvent
 import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.LogEvent
-import org.gypsumroute.api.Moment
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
@@ -43,11 +44,17 @@
     val named = report.members.filter {
         it != exchange.own && it != from && it !in exchange.members && it !in exchange.candidates
     }
+    val before = known?.takeIf { it.report.incarnation == report.incarnation }?.latest
+        ?: persistentMapOf()
+    val member = Member(report, now, before.putAll(report.loads))
     val next = exchange.copy(
-        members = exchange.members.put(from, Member(report, now)),
+        members = exchange.members.put(from, member),
         candidates = exchange.candidates.remove(from).putAll(named.associateWith { now })
     )
-    val changed = state.copy(exchange = next)
+    val changed = state.copy(
+        exchange = next,
+        endpoints = withReported(state, before, report.loads)
+    )
     return if (known != null) {
         askPeer(changed)
     } else {
@@ -86,17 +93,32 @@
     }
 }
 
-/** The latest known work of the other gateways. */
-internal fun loadsOfOthers(state: GatewayState): List<ReportedLoads> = state.exchange.members.values
-    .map { ReportedLoads(it.report, state.common.now - it.heardAt) }
-    .filter { it.age < LOAD_VALID }
-
-/** Another gateway's work, as of a report that is [age] old. */
-internal class ReportedLoads(private val report: GatewayReport, val age: Duration) {
-    /** Its work at an endpoint now, or null if there is none. */
-    fun loadAt(endpoint: EndpointId): EngineLoad? = report.loads[endpoint]?.after(age)
+/** Adds to the backlogs what another gateway sent since its last report. */
+private fun withReported(
+    state: GatewayState,
+    before: Map<EndpointId, EngineLoad>,
+    loads: Map<EndpointId, EngineLoad>
+): PersistentMap<EndpointId, EndpointState> {
+    var endpoints = state.endpoints
+    for ((id, load) in loads) {
+        val endpoint = endpoints[id]
+        val last = before[id]
+        // Nobody knows how much of the work before the first report is done.
+        val read = if (last == null) load.unread else load.readSent - last.readSent
+        val help = if (last == null) Duration.ZERO else load.helpSent - last.helpSent
+        if (endpoint != null && (read > Duration.ZERO || help > Duration.ZERO)) {
+            val backlog = endpoint.backlog.plus(state.common.now, read, help)
+            endpoints = endpoints.put(id, endpoint.copy(backlog = backlog))
+        }
+    }
+    return endpoints
 }
 
+/** The reports of other gateways that are fresh enough to count. */
+internal fun loadsOfOthers(state: GatewayState): List<GatewayReport> = state.exchange.members.values
+    .filter { state.common.now - it.heardAt < LOAD_VALID }
+    .map { it.report }
+
 /** The gateways that share the limits of the deployment, this one included. */
 internal val GatewayState.gateways: Int
     get() = maxOf(exchange.members.size + 1, exchange.seeds.size + 1)
@@ -112,20 +134,13 @@
         sequence = next.sequence,
         revision = state.published.revision,
         storeAnswers = state.published.storeAnswers,
-        loads = ownLoads(state, now),
+        loads = state.endpoints.filterValues { it.work.isNotEmpty() }.mapValues { it.value.load() },
         members = exchange.members.filterValues { now - it.heardAt < HEARD_LATELY }.keys.toList()
     )
     return state.copy(exchange = next)
         .step(ExchangeEffect.SendReport(targets.toList(), report))
 }
 
-private fun ownLoads(state: GatewayState, now: Moment) = buildMap {
-    for ((id, endpoint) in state.endpoints) {
-        val load: EngineLoad = endpoint.load(now)
-        if (endpoint.work.isNotEmpty()) put(id, load)
-    }
-}
-
 private fun dropSilentMembers(state: GatewayState): Step<GatewayState> {
     val now = state.common.now
     val silent = state.exchange.members.filterValues { now - it.heardAt > MEMBER_VALID }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeState.kt
@@ -3,6 +3,8 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.Moment
 
@@ -23,5 +25,9 @@
     val changeTimerSet: Boolean = false
 )
 
-/** Another gateway and its latest report. */
-data class Member(val report: GatewayReport, val heardAt: Moment)
+/** Another gateway, its latest report, and its latest load at each endpoint that it ever named. */
+data class Member(
+    val report: GatewayReport,
+    val heardAt: Moment,
+    val latest: PersistentMap<EndpointId, EngineLoad>
+)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardPlacements.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardPlacements.kt
@@ -9,8 +9,11 @@
 /** Placement functions for [GatewayPolicies.placement]. */
 object ForwardPlacements {
     /** By predicted loss at engines, and by open requests at plain services. */
-    val leastLoss: ForwardPlacement = { question ->
-        if (question.figures == null) leastOpen(question) else placeAtEngines(question)
+    val leastLoss: ForwardPlacement = leastLossAt(PlacementCosts())
+
+    /** The same with other costs. */
+    fun leastLossAt(costs: PlacementCosts): ForwardPlacement = { question ->
+        question.figures?.let { placeAtEngines(question, it, costs) } ?: leastOpenOrNone(question)
     }
 
     /**
@@ -27,6 +30,9 @@
         }?.let { ForwardChoice(it.record.id, emptyList(), Duration.ZERO, Duration.ZERO) }
     }
 
+    private fun leastOpenOrNone(question: ForwardQuestion): ForwardChoice? =
+        if (question.figures == null) leastOpen(question) else null
+
     /** Share of slots that a call to another data centre is worth. */
     private const val AWAY = 0.1
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayPolicies.kt
@@ -32,10 +32,11 @@
     val entropy: Long
 )
 
-/** An endpoint that may take the request, with the load of all gateways as far as known. */
+/** An endpoint that may take the request, with the work of all gateways as far as known. */
 data class ForwardCandidate(
     val record: EndpointRecord,
     val load: EngineLoad,
+    val backlog: Backlog,
     val failureShare: Double
 )
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryBudget.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryBudget.kt
@@ -24,9 +24,10 @@
 
     /** Whether one more repeat stays within the limit over [window]. */
     fun allows(now: Moment, window: Duration, ratio: Double, allowance: Double): Boolean {
-        val recent = seconds.filter { now - it.from <= window + 1.seconds }
-        return recent.sumOf { it.repeats } + 1 <=
-            ratio * recent.sumOf { it.requests } + allowance
+        // A second that lies partly in the window counts for repeats and not for requests.
+        val repeats = seconds.filter { now - it.from <= window + 1.seconds }.sumOf { it.repeats }
+        val requests = seconds.filter { now - it.from <= window }.sumOf { it.requests }
+        return repeats + 1 <= ratio * requests + allowance
     }
 
     private fun add(now: Moment, requests: Int, repeats: Int): RetryBudget {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -23,12 +23,20 @@
 internal fun questionFor(state: GatewayState, record: ForwardRecord): ForwardQuestion {
     val now = state.common.now
     val others = loadsOfOthers(state)
+    val allowed = state.endpoints.values.filter { mayTake(state, record, it) }
+    // Where no endpoint could be reached lately, trying one is better than refusing.
+    val reachable = allowed.filter { it.health.suspendedUntil <= now }.ifEmpty { allowed }
     return ForwardQuestion(
-        candidates = state.endpoints.values.filter { mayTake(state, record, it) }.map { endpoint ->
-            val load = others.fold(endpoint.load(now)) { sum, other ->
-                other.loadAt(endpoint.record.id)?.let { sum + it } ?: sum
+        candidates = reachable.map { endpoint ->
+            val load = others.fold(endpoint.load()) { sum, other ->
+                other.loads[endpoint.record.id]?.let { sum + it } ?: sum
             }
-            ForwardCandidate(endpoint.record, load, endpoint.health.failureShare(now))
+            ForwardCandidate(
+                endpoint.record,
+                load,
+                endpoint.backlog.later(now).within(load.unread),
+                endpoint.health.failureShare(now)
+            )
         },
         figures = state.published.table?.services?.get(record.service)?.engine,
         size = record.size,
@@ -88,7 +96,8 @@
             "records_age" to (now - state.published.lastRead),
             "endpoint" to choice.endpoint,
             "address" to endpoint.record.address,
-            "helpers" to choice.helpers.size,
+            "helpers" to choice.helpers.joinToString(" "),
+            "read_time" to choice.readTime,
             "open" to endpoint.work.size,
             "expected_first_event" to choice.firstByte,
             "remaining" to (record.deadline - now)
@@ -105,21 +114,26 @@
 ): PersistentMap<EndpointId, EndpointState> {
     val now = state.common.now
     val work =
-        EndpointWork(now, choice.readTime, record.size.context, record.gap, record.size.value)
+        EndpointWork(
+            sentAt = now,
+            readTime = choice.readTime,
+            context = record.size.context,
+            objective = record.route.objective,
+            gap = record.gap,
+            value = record.size.value
+        )
     var endpoints = state.endpoints
     for (id in choice.helpers) {
         val helper = endpoints[id] ?: continue
         val held = choice.reservations[id]?.count ?: 0
         val part = work.copy(context = held, helping = true)
-        endpoints = endpoints.put(id, helper.copy(work = helper.work.put(record.request, part)))
+        endpoints = endpoints.put(id, helper.withWork(record.request, part, now))
     }
     val endpoint = endpoints.getValue(choice.endpoint)
     return endpoints.put(
         choice.endpoint,
-        endpoint.copy(
-            work = endpoint.work.put(record.request, work),
-            coldSends = endpoint.coldSends.with(now)
-        )
+        endpoint.withWork(record.request, work, now)
+            .copy(coldSends = endpoint.coldSends.with(now))
     )
 }
 
@@ -158,7 +172,7 @@
     maxOf(record.route.objective * LATE_FACTOR, choice.firstByte * LATE_FACTOR, SHORTEST_LIMIT)
 
 private fun gapLimit(record: ForwardRecord): Duration =
-    if (record.gap.isFinite()) maxOf(record.gap * GAP_FACTOR, SHORTEST_GAP_LIMIT) else LONGEST_GAP
+    (record.gap * GAP_FACTOR).coerceIn(SHORTEST_GAP_LIMIT, LONGEST_GAP)
 
 /** More urgent requests, and among equals those that must answer sooner, are admitted first. */
 private fun priorityOf(record: ForwardRecord): Int {
@@ -167,9 +181,9 @@
 }
 
 private const val LATE_FACTOR = 2.5
-private const val GAP_FACTOR = 4
+private const val GAP_FACTOR = 7
 private const val LOWEST_PRIORITY = 9
 private val SHORTEST_LIMIT: Duration = 150.milliseconds
-private val SHORTEST_GAP_LIMIT: Duration = 800.milliseconds
-private val LONGEST_GAP: Duration = 3.seconds
+private val SHORTEST_GAP_LIMIT: Duration = 1200.milliseconds
+private val LONGEST_GAP: Duration = 4.seconds
 private val SOON: Duration = 500.milliseconds
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/LogOutput.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/LogOutput.kt
@@ -10,6 +10,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent
 import java.io.FileDescriptor
 import java.io.FileOutputStream
+import java.io.OutputStream
 import java.time.Instant
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
@@ -22,12 +23,16 @@
     private var appender: BoundedLogAppender? = null
 
     /** Replaces logback's configuration; called once at the start of a process. */
-    fun configure(format: LogFormat, host: HostId) {
+    fun configure(
+        format: LogFormat,
+        host: HostId,
+        output: OutputStream = FileOutputStream(FileDescriptor.out)
+    ) {
         val context = LoggerFactory.getILoggerFactory() as LoggerContext
         context.reset()
         val layout = EventLayout(format, host)
         val bounded = BoundedLogAppender(
-            FileOutputStream(FileDescriptor.out),
+            output,
             layout::lineOf,
             layout::lineOfDropped
         )
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/PeerTransport.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/PeerTransport.kt
@@ -45,7 +45,8 @@
 ) {
     private val lifetime = SupervisorJob(scope.coroutineContext[Job])
     private val scope = scope + lifetime
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selecting = SupervisorJob()
+    private val selector = SelectorManager(Dispatchers.IO + selecting)
     private val handshake = Handshake(hello, sharedKey)
     private val counters = TransportCounters()
     private val connectionIds = AtomicLong()
@@ -80,10 +81,14 @@
         return server.port
     }
 
-    /** Closes all connections after their queued control messages and stops listening. */
+    /**
+     * Closes all connections after their queued control messages and stops listening. A closed
+     * listener keeps its port until the selector has let go of it, so this waits for its end.
+     */
     suspend fun stop() {
         open.closeAll().joinAll()
         lifetime.cancelAndJoin()
+        selecting.children.toList().joinAll()
     }
 
     private suspend fun openSocket(address: String, port: Int): Either<PeerTransportError, Socket> =
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -48,8 +48,11 @@
     endpoint = endpoint.value,
     open = load.open,
     writers = load.writers,
-    pendingRead = load.pendingRead.inWholeMilliseconds.toInt(),
     context = load.context,
+    unread = load.unread.inWholeMilliseconds,
+    readSent = load.readSent.inWholeMilliseconds,
+    helpSent = load.helpSent.inWholeMilliseconds,
+    urgency = (load.urgency * HUNDREDTHS).toInt(),
     stakes = load.stakes.map { stake ->
         StakeRecord(
             (stake.value * HUNDREDTHS).toInt(),
@@ -71,8 +74,11 @@
 private fun loadOf(record: LoadRecord) = EngineLoad(
     open = record.open,
     writers = record.writers,
-    pendingRead = record.pendingRead.milliseconds,
     context = record.context,
+    unread = record.unread.milliseconds,
+    readSent = record.readSent.milliseconds,
+    helpSent = record.helpSent.milliseconds,
+    urgency = record.urgency / HUNDREDTHS,
     stakes = record.stakes.map {
         Stake(it.gap?.milliseconds ?: Duration.INFINITE, it.value / HUNDREDTHS)
     }
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
@@ -21,15 +21,18 @@
     @CborLabel(label = 7) val members: List<String> = emptyList()
 )
 
-/** Work at one endpoint; [pendingRead] in milliseconds. */
+/** Work at one endpoint; times in milliseconds, [urgency] in hundredths. */
 @Serializable
 internal class LoadRecord(
     @CborLabel(label = 1) val endpoint: String,
     @CborLabel(label = 2) val open: Int = 0,
     @CborLabel(label = 3) val writers: Int = 0,
-    @CborLabel(label = 4) val pendingRead: Int = 0,
-    @CborLabel(label = 5) val context: Long = 0,
-    @CborLabel(label = 6) val stakes: List<StakeRecord> = emptyList()
+    @CborLabel(label = 4) val context: Long = 0,
+    @CborLabel(label = 5) val unread: Long = 0,
+    @CborLabel(label = 6) val readSent: Long = 0,
+    @CborLabel(label = 7) val helpSent: Long = 0,
+    @CborLabel(label = 8) val urgency: Int = 0,
+    @CborLabel(label = 9) val stakes: List<StakeRecord> = emptyList()
 )
 
 /** [gap] in milliseconds, absent if any pause is borne; [value] in hundredths. */
