Keep taking callers through rolling stops, expire overdue requests after a pause, count at gateways

Cause: a gateway that was told to stop closed its callers' port after 2.5 s, also when no other gateway was ready, so callers of hosts that stop in turn had nowhere to go. A gateway never noticed pauses, since only entries ended their startup: events that waited during one could send a request again whose time was over. Gateways counted nothing but control events. Bodies in memory had no common limit.

Ruled out: refusing every arrival after 2.5 s, which fails callers that another second would have served; limiting bodies by connection count, since a small body costs as much as a large one.

Change: reports tell whether a gateway is ready; a stopping one closes its port once another is, or 2 s before its end, and refuses a late request as draining only if it would not end in time. After a pause, overdue requests end first and silent members get the pause's time back. Requests, attempts, repeats, store reads and rejected datagrams are counted, with histograms of first event and duration. Bodies may hold 32 MB; beyond that callers are refused as not run. A failure that is passed on has a log line. Cold bounds that nothing read are gone.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayBounds.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayBounds.kt
@@ -6,18 +6,14 @@
  * Limits that the deployment sets for all gateways together.
  *
  * In any [retryWindow], repeats of a service's requests stay under [retryRatio] times its requests
- * plus [retryAllowance]. A cold endpoint gets at most [coldFactor] times its published rate plus
- * [coldAllowance] requests in a second. [endpointReturn] is the time after an outage of the store
- * in which records that lapsed meanwhile return. Memory is reserved for [reservationHold] at a
- * time, so that a lost release leaves it unused no longer than that. [drainTime] bounds a planned
- * stop.
+ * plus [retryAllowance]. [endpointReturn] is the time after an outage of the store in which
+ * records that lapsed meanwhile return. Memory is reserved for [reservationHold] at a time, so that
+ * a lost release leaves it unused no longer than that. A planned stop is over within [drainTime].
  */
 data class GatewayBounds(
     val retryRatio: Double,
     val retryWindow: Duration,
     val retryAllowance: Int,
-    val coldFactor: Double,
-    val coldAllowance: Int,
     val endpointReturn: Duration,
     val reservationHold: Duration,
     val drainTime: Duration
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
@@ -13,6 +13,7 @@
     SETTINGS_RELOADED(1006, LogLevel.INFO, "changed settings are in force"),
     SETTINGS_REJECTED(1007, LogLevel.WARN, "changed settings have faults; the old ones stay"),
     LOG_LINES_DROPPED(1008, LogLevel.WARN, "log lines were dropped"),
+    CALLERS_CLOSED(1009, LogLevel.INFO, "no new callers are taken; waiting for open requests"),
     DOCUMENT_ACCEPTED(2001, LogLevel.INFO, "service document accepted"),
     DOCUMENT_REJECTED(2002, LogLevel.WARN, "service document refused"),
     DOCUMENT_STALE(2003, LogLevel.INFO, "older service document ignored"),
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
@@ -10,5 +10,11 @@
     QUEUE_WAIT("gypsumroute_queue_wait_seconds", "Time from grant request to grant"),
     ORPHANS("gypsumroute_orphans_total", "Streams and handles found without a lease"),
     PAUSES("gypsumroute_pauses_total", "Pauses of the process that were noticed"),
-    DOCUMENTS("gypsumroute_documents_accepted_total", "Service documents accepted")
+    DOCUMENTS("gypsumroute_documents_accepted_total", "Service documents accepted"),
+    ATTEMPTS("gypsumroute_attempts_total", "Attempts of gateways at endpoints, by outcome"),
+    STORE_READS("gypsumroute_store_reads_total", "Reads of published records, by outcome"),
+    REPORTS_REJECTED(
+        "gypsumroute_reports_rejected_total",
+        "Datagrams of other gateways that could not be used"
+    )
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -4,6 +4,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.GatewayBounds
+import org.gypsumroute.api.Moment
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.core.gateway.EndpointState
@@ -15,8 +16,8 @@
 
 /**
  * State of a gateway: an entry without agents, which forwards requests unchanged to endpoints that
- * it reads from published records. [drainSettled] tells that the balancer had time to notice a
- * planned stop.
+ * it reads from published records. A planned stop began at [drainingSince]; [drainSettled] tells
+ * that no new connections are taken any more.
  */
 data class GatewayState(
     override val common: CommonState,
@@ -28,5 +29,6 @@
     val requests: PersistentMap<RequestId, ForwardRecord> = persistentMapOf(),
     val retryBudgets: PersistentMap<ServiceId, RetryBudget> = persistentMapOf(),
     val nextAttempt: Long = 1,
+    val drainingSince: Moment? = null,
     val drainSettled: Boolean = false
 ) : NodeState
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
@@ -24,14 +24,11 @@
     val head = event.head
     val published = state.published
     // Without a table nobody can tell a wrong route or key from a right one.
-    if (published.table ==
-        null
-    ) {
-        return refuse(state, event, ErrorKind.NOT_READY, "no routing table")
-    }
+    val table = published.table
+        ?: return refuse(state, event, ErrorKind.NOT_READY, "no routing table")
     val route = published.routes.find(head.hostName, head.path)
         ?: return refuse(state, event, ErrorKind.ROUTE_UNKNOWN, "no route matches host and path")
-    val keyed = !route.public && published.table.organisations != null
+    val keyed = !route.public && table.organisations != null
     val organisation = head.keyDigest?.let { published.routes.organisation(it) }
     if (keyed && organisation == null) {
         return refuse(state, event, ErrorKind.CREDENTIALS_INVALID, "the key is not known")
@@ -47,10 +44,19 @@
         RuntimeEffect.SetTimer(TimerId.ForwardDeadline(event.request), record.deadline - now)
     return opened.step(deadline).then { next ->
         val choice = next.policies.placement(questionFor(next, record))
-        if (choice == null) {
-            endWithError(next, record, ErrorKind.NO_ENDPOINT, "no endpoint may take the request")
-        } else {
-            reserveOrSend(next, record, choice)
+        when {
+            choice == null ->
+                endWithError(
+                    next,
+                    record,
+                    ErrorKind.NO_ENDPOINT,
+                    "no endpoint may take the request"
+                )
+
+            !endsBeforeStop(next, record, choice) ->
+                endWithError(next, record, ErrorKind.DRAINING, "would not end before the stop")
+
+            else -> reserveOrSend(next, record, choice)
         }
     }
 }
@@ -106,6 +112,7 @@
             "host_name" to event.head.hostName,
             "version" to state.published.table?.version
         ),
-        ForwardEffect.Refuse(event.request, Failure(kind, detail, retryAfter = retryAfter))
+        ForwardEffect.Refuse(event.request, Failure(kind, detail, retryAfter = retryAfter)),
+        countRefusal(kind.code)
     )
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -47,7 +47,10 @@
     val attempt = record.attempt?.takeIf { it.id == event.attempt } ?: return state.step()
     val outcome = event.outcome
     val freed = noteOutcome(releaseWork(state, record, attempt), attempt, outcome)
-    if (outcome is AttemptOutcome.Completed) return endServed(freed, record, attempt, outcome)
+    if (outcome is AttemptOutcome.Completed) {
+        return endServed(freed, record, attempt, outcome)
+            .then { it.step(countAttempt(record, outcome)) }
+    }
     val unsent = outcome is AttemptOutcome.NeverSent
     val detached = record.copy(
         attempt = null,
@@ -58,7 +61,9 @@
         failureHeld = record.failureHeld || outcome is AttemptOutcome.Failed
     )
     return releaseReservations(freed, record)
-        .then { it.step(attemptLog(record, attempt.endpoint, outcome)) }
+        .then {
+            it.step(attemptLog(record, attempt.endpoint, outcome), countAttempt(record, outcome))
+        }
         .then { afterFailure(it, detached, outcome) }
 }
 
@@ -75,7 +80,7 @@
     }
     return when {
         choice != null -> reserveOrSend(state, record, choice)
-        record.failureHeld && !record.begun -> endWithHeldFailure(state, record)
+        record.failureHeld && !record.begun -> endWithHeldFailure(state, record, causeOf(outcome))
         record.mayHaveRun -> endWithError(state, record, ErrorKind.ENDPOINT_LOST, causeOf(outcome))
         else -> endWithError(state, record, ErrorKind.ENDPOINT_REFUSED, causeOf(outcome))
     }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EngineModel.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EngineModel.kt
@@ -42,9 +42,9 @@
     /** Requests that an engine runs at a time. */
     val slots: Int get() = figures.slots
 
-    /** Time in which a request without hint writes its answer. */
-    fun writeTime(output: Long, pass: Duration): Duration =
-        pass * (output.toDouble() / figures.stepsPerPass)
+    /** Time in which an answer of [output] tokens is written. */
+    fun writeTime(output: Tokens, pass: Duration): Duration =
+        pass * (output.count.toDouble() / figures.stepsPerPass)
 
     private companion object {
         const val PAIRS_IN_MILLION = 1e6
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
@@ -117,8 +117,7 @@
         val ratio = firstByte / objective
         val left = if (firstByte >= remaining) 1.0 else (ratio / costs.patience).coerceAtMost(1.0)
         return value * (
-            costs.lateLoss * lateShare(ratio) + (1 - costs.lateLoss) * left * left +
-                costs.waiting * ratio
+            costs.lateLoss * lateShare(ratio) + (1 - costs.lateLoss) * left * left
             )
     }
 
@@ -216,7 +215,7 @@
 
         /** The most engines that read one prompt: itself and as many helpers as a request names. */
         const val MOST_READERS = 17
-        const val TYPICAL_OUTPUT = 1500L
+        val TYPICAL_OUTPUT = Tokens(1500)
         const val FULL_MEMORY = 0.95
         const val CROWDED_LOSS = 0.5
         const val MOST_HELP = 0.9
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -16,6 +16,8 @@
 import org.gypsumroute.api.ExchangeEvent
 import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Metric
+import org.gypsumroute.api.MetricLabels
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
@@ -28,6 +30,11 @@
 internal fun reduceExchange(state: GatewayState, event: ExchangeEvent): Step<GatewayState> =
     when (event) {
         is ExchangeEvent.ReportReceived -> reduceReport(state, event.from, event.report)
+
+        is ExchangeEvent.ReportRejected -> state.step(
+            logEffect(LogEvent.FRAME_REJECTED, "from" to event.from, "cause" to event.cause),
+            RuntimeEffect.Count(Metric.REPORTS_REJECTED, MetricLabels())
+        )
     }
 
 private fun reduceReport(
@@ -134,6 +141,7 @@
         sequence = next.sequence,
         revision = state.published.revision,
         storeAnswers = state.published.storeAnswers,
+        ready = state.common.ready,
         loads = state.endpoints.filterValues { it.work.isNotEmpty() }.mapValues { it.value.load() },
         members = exchange.members.filterValues { now - it.heardAt < HEARD_LATELY }.keys.toList()
     )
@@ -141,6 +149,15 @@
         .step(ExchangeEffect.SendReport(targets.toList(), report))
 }
 
+/** A member that was silent while this process was paused need not be gone. */
+internal fun withoutPause(state: GatewayState, pause: Duration): GatewayState {
+    val members = state.exchange.members.builder()
+    for ((address, member) in state.exchange.members) {
+        members[address] = member.copy(heardAt = member.heardAt + pause)
+    }
+    return state.copy(exchange = state.exchange.copy(members = members.build()))
+}
+
 private fun dropSilentMembers(state: GatewayState): Step<GatewayState> {
     val now = state.common.now
     val silent = state.exchange.members.filterValues { now - it.heardAt > MEMBER_VALID }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
@@ -22,7 +22,8 @@
                 LogEvent.REQUEST_REFUSED,
                 "kind" to event.failure.kind.code,
                 "detail" to event.failure.detail
-            )
+            ),
+            countRefusal(event.failure.kind.code)
         )
 
         is ForwardEvent.CallerLeft -> reduceCallerLeft(state, event.request)
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
@@ -0,0 +1,69 @@
+/*
+ * What a gateway counts and measures.
+ */
+package org.gypsumroute.core.gateway
+
+import kotlin.time.Duration
+import org.gypsumroute.api.AttemptOutcome
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.Metric
+import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.PublishedEvent
+import org.gypsumroute.api.RuntimeEffect
+
+/** Outcome of requests whose answer is an endpoint's failure. */
+internal const val ENDPOINT_FAILED = "endpoint_failed"
+
+/** Outcome of requests that got their whole answer. */
+internal const val SERVED = "served"
+
+/** Counts a request's end and its times. */
+internal fun measureEnd(record: ForwardRecord, outcome: String, took: Duration): List<Effect> {
+    val labels = labelsOf(record).copy(outcome = outcome)
+    val service = MetricLabels(service = record.service)
+    val first = record.begunAt?.let {
+        RuntimeEffect.Observe(Metric.FIRST_TOKEN, service, (it - record.arrivedAt).toSeconds())
+    }
+    return listOfNotNull(
+        RuntimeEffect.Count(Metric.REQUESTS, labels),
+        RuntimeEffect.Observe(Metric.REQUEST_DURATION, service, took.toSeconds()),
+        first
+    )
+}
+
+/** Counts a request that was refused before its route was known. */
+internal fun countRefusal(outcome: String): Effect =
+    RuntimeEffect.Count(Metric.REQUESTS, MetricLabels(outcome = outcome))
+
+internal fun countRepeat(record: ForwardRecord): Effect =
+    RuntimeEffect.Count(Metric.RETRIES, MetricLabels(service = record.service))
+
+internal fun countAttempt(record: ForwardRecord, outcome: AttemptOutcome): Effect =
+    RuntimeEffect.Count(
+        Metric.ATTEMPTS,
+        MetricLabels(service = record.service, outcome = nameOf(outcome))
+    )
+
+internal fun countRead(event: PublishedEvent): Effect = RuntimeEffect.Count(
+    Metric.STORE_READS,
+    MetricLabels(
+        outcome = when (event) {
+            is PublishedEvent.SnapshotRead -> "snapshot"
+            is PublishedEvent.ChangesRead -> "changes"
+            is PublishedEvent.HistoryLost -> "history_lost"
+            is PublishedEvent.ReadFailed -> "failed"
+        }
+    )
+)
+
+private fun labelsOf(record: ForwardRecord) =
+    MetricLabels(service = record.service, organisation = record.organisation)
+
+private fun nameOf(outcome: AttemptOutcome): String = when (outcome) {
+    is AttemptOutcome.Completed -> "completed"
+    is AttemptOutcome.Failed -> "failed"
+    is AttemptOutcome.NotRun -> "not_run"
+    is AttemptOutcome.NeverSent -> "never_sent"
+    is AttemptOutcome.Lost -> "lost"
+    is AttemptOutcome.Broken -> "broken"
+}
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -3,10 +3,9 @@
  */
 package org.gypsumroute.core.gateway
 
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration
 import org.gypsumroute.api.Event
 import org.gypsumroute.api.ExchangeEvent
-import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.PublishedEffect
@@ -23,24 +22,37 @@
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.map
 import org.gypsumroute.core.reduceClock
-import org.gypsumroute.core.reduceDrainRequested
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 internal fun reduceGateway(state: GatewayState, event: Event): Step<GatewayState> = when (event) {
-    is RuntimeEvent.ClockRead -> state.onCommon { reduceClock(it, event) }
+    is RuntimeEvent.ClockRead -> state.onCommon { reduceClock(it, event) }.then { reducePause(it) }
+
     is RuntimeEvent.Started -> reduceGatewayStarted(state)
+
     is RuntimeEvent.DrainRequested -> reduceGatewayDrain(state)
+
     is RuntimeEvent.TimerFired -> reduceGatewayTimer(state, event.timer)
-    is PublishedEvent -> reducePublished(state, event).then { updateGatewayReadiness(it) }
+
+    is PublishedEvent -> reducePublished(state, event)
+        .then { updateGatewayReadiness(it) }
+        .then { it.step(countRead(event)) }
+
     is ForwardEvent -> reduceForward(state, event)
+
     is ExchangeEvent -> reduceExchange(state, event)
+
     is ReservationEvent -> reduceReservation(state, event)
+
     is SettingsEvent -> reduceSettings(state, event)
+
     else -> state.step()
 }.then { spreadChanges(state, it) }.then { finishGatewayDrain(it) }
 
-private fun reduceGatewayStarted(state: GatewayState): Step<GatewayState> = state.step(
+private fun reduceGatewayStarted(state: GatewayState): Step<GatewayState> = state.copy(
+    common = state.common.copy(startupOver = true)
+).step(
     logEffect(
         LogEvent.PROCESS_STARTED,
         "role" to state.common.node.role,
@@ -53,35 +65,15 @@
 private fun reduceGatewayTimer(state: GatewayState, timer: TimerId): Step<GatewayState> =
     when (timer) {
         is TimerId.ForwardDeadline -> reduceForwardDeadline(state, timer.request)
-
         is TimerId.PublishedRead -> readPublished(state)
-
         is TimerId.EndpointReturn -> dropLapsedEndpoints(state)
-
         is TimerId.ReservationRenewal -> renewReservations(state)
-
         is TimerId.ReportBeat -> reduceReportBeat(state)
-
         is TimerId.ReportChange -> reduceReportChange(state)
-
-        is TimerId.DrainSettled ->
-            state.copy(drainSettled = true).step(ForwardEffect.StopAccepting)
-
+        is TimerId.DrainSettled -> settleDrain(state)
         else -> state.step()
     }
 
-/**
- * Begins a planned stop. The balancer needs some time to notice, and until then requests are
- * served as before. Later ones might not end in time, so connections that are idle by then close.
- */
-private fun reduceGatewayDrain(state: GatewayState): Step<GatewayState> =
-    if (state.common.drain != DrainPhase.SERVING) {
-        state.step()
-    } else {
-        state.onCommon { reduceDrainRequested(it) }
-            .then { it.step(RuntimeEffect.SetTimer(TimerId.DrainSettled, BALANCER_TIME)) }
-    }
-
 private fun reduceSettings(state: GatewayState, event: SettingsEvent): Step<GatewayState> =
     when (event) {
         is SettingsEvent.Changed -> state.copy(
@@ -93,6 +85,19 @@
             state.step(logEffect(LogEvent.SETTINGS_REJECTED, "problem" to event.problem))
     }
 
+/**
+ * Ends what ran out of time while the process was paused, before anything else is decided: the
+ * events that waited meanwhile would else send such requests once more.
+ */
+private fun reducePause(state: GatewayState): Step<GatewayState> {
+    val pause = state.common.pause
+    if (pause == Duration.ZERO) return state.step()
+    val now = state.common.now
+    val overdue = state.requests.values.filter { it.deadline <= now }
+    return withoutPause(state, pause).step()
+        .thenEach(overdue) { next, record -> reduceForwardDeadline(next, record.request) }
+}
+
 /** Ready while a routing table and the endpoints are known and no stop was asked for. */
 private fun updateGatewayReadiness(state: GatewayState): Step<GatewayState> {
     val ready = state.common.drain == DrainPhase.SERVING && state.published.table != null
@@ -102,17 +107,6 @@
     return if (ready) next.step(logEffect(LogEvent.PROCESS_READY), effect) else next.step(effect)
 }
 
-/** Ends a planned stop once nothing is left to serve. */
-private fun finishGatewayDrain(state: GatewayState): Step<GatewayState> {
-    val idle = state.drainSettled && state.requests.isEmpty()
-    if (state.common.drain != DrainPhase.DRAINING || !idle) return state.step()
-    return state.copy(common = state.common.copy(drain = DrainPhase.FINISHED))
-        .step(logEffect(LogEvent.DRAIN_FINISHED), RuntimeEffect.Exit(0))
-}
-
-/** The balancer asks once a second and leaves a process out after two refusals. */
-private val BALANCER_TIME = 2500.milliseconds
-
 /** Applies a step to the shared state. */
 internal inline fun GatewayState.onCommon(
     change: (CommonState) -> Step<CommonState>
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PlacementCosts.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PlacementCosts.kt
@@ -26,6 +26,5 @@
     val slotWait: Double = 1.0,
     val helpWeight: Double = 0.5,
     val delay: Double = 0.5,
-    val waiting: Double = 0.0,
     val patience: Double = 6.0
 )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -29,7 +29,7 @@
     outcome: AttemptOutcome.Completed
 ): Step<GatewayState> {
     val now = state.common.now
-    return close(state, record).andThen(
+    return close(state, record, SERVED).andThen(
         logEffect(
             LogEvent.REQUEST_SERVED,
             "request" to record.head.callerId,
@@ -41,17 +41,28 @@
             "first_event" to record.begunAt?.let { it - record.arrivedAt },
             "longest_pause" to outcome.longestPause,
             "took" to (now - record.arrivedAt)
-        ),
-        RuntimeEffect.CancelTimer(TimerId.ForwardDeadline(record.request))
+        )
     )
 }
 
 /** Passes on the failure that an endpoint answered. */
-internal fun endWithHeldFailure(state: GatewayState, record: ForwardRecord): Step<GatewayState> =
-    close(state, record).andThen(
-        ForwardEffect.RelayFailure(record.request),
-        RuntimeEffect.CancelTimer(TimerId.ForwardDeadline(record.request))
-    )
+internal fun endWithHeldFailure(
+    state: GatewayState,
+    record: ForwardRecord,
+    detail: String
+): Step<GatewayState> = close(state, record, ENDPOINT_FAILED).andThen(
+    logEffect(
+        LogEvent.REQUEST_FAILED,
+        "request" to record.head.callerId,
+        "route" to record.route.name,
+        "kind" to ENDPOINT_FAILED,
+        "run" to RunState.UNKNOWN.code,
+        "detail" to detail,
+        "attempts" to record.sends,
+        "took" to (state.common.now - record.arrivedAt)
+    ),
+    ForwardEffect.RelayFailure(record.request)
+)
 
 /** Answers with an error, or breaks off an answer that has begun. */
 internal fun endWithError(
@@ -67,7 +78,7 @@
     } else {
         ForwardEffect.Refuse(record.request, Failure(kind, detail, runState, retryAfter))
     }
-    return close(state, record).andThen(
+    return close(state, record, kind.code).andThen(
         logEffect(
             if (record.mayHaveRun) LogEvent.REQUEST_FAILED else LogEvent.REQUEST_REFUSED,
             "request" to record.head.callerId,
@@ -79,15 +90,14 @@
             "begun" to record.begun,
             "took" to (state.common.now - record.arrivedAt)
         ),
-        effect,
-        RuntimeEffect.CancelTimer(TimerId.ForwardDeadline(record.request))
+        effect
     )
 }
 
 internal fun reduceCallerLeft(state: GatewayState, request: RequestId): Step<GatewayState> {
     val record = state.requests[request] ?: return state.step()
     return abandonAttempt(state, record).then { next ->
-        close(next, record).andThen(
+        close(next, record, ErrorKind.CALLER_LEFT.code).andThen(
             logEffect(
                 LogEvent.CALLER_LEFT,
                 "request" to record.head.callerId,
@@ -95,8 +105,7 @@
                 "endpoint" to record.attempt?.endpoint,
                 "begun" to record.begun,
                 "took" to (state.common.now - record.arrivedAt)
-            ),
-            RuntimeEffect.CancelTimer(TimerId.ForwardDeadline(request))
+            )
         )
     }
 }
@@ -131,10 +140,15 @@
     return state.copy(endpoints = endpoints)
 }
 
-/** Forgets the request and gives back what was reserved for it. */
-private fun close(state: GatewayState, record: ForwardRecord): Step<GatewayState> =
-    releaseReservations(state, record)
-        .then { it.copy(requests = it.requests.remove(record.request)).step() }
+/** Forgets the request, gives back what was reserved for it and counts its end. */
+private fun close(state: GatewayState, record: ForwardRecord, outcome: String): Step<GatewayState> =
+    releaseReservations(state, record).then {
+        Step(
+            it.copy(requests = it.requests.remove(record.request)),
+            measureEnd(record, outcome, it.common.now - record.arrivedAt) +
+                RuntimeEffect.CancelTimer(TimerId.ForwardDeadline(record.request))
+        )
+    }
 
 private fun Step<GatewayState>.andThen(vararg effects: Effect): Step<GatewayState> =
     then { it.step(*effects) }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -17,7 +17,6 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.logEffect
-import org.gypsumroute.core.step
 
 /** The placement's question for a request, with the loads of all gateways. */
 internal fun questionFor(state: GatewayState, record: ForwardRecord): ForwardQuestion {
@@ -76,7 +75,7 @@
         tried = record.tried.add(choice.endpoint)
     )
     val budget = state.retryBudgets[record.service] ?: RetryBudget()
-    return state.copy(
+    val next = state.copy(
         requests = state.requests.put(record.request, sent),
         endpoints = withWork(state, record, choice),
         retryBudgets = if (record.sends == 0) {
@@ -85,27 +84,40 @@
             state.retryBudgets.put(record.service, budget.withRepeat(now))
         },
         nextAttempt = state.nextAttempt + 1
-    ).step(
-        logEffect(
-            LogEvent.REQUEST_ROUTED,
-            "request" to record.head.callerId,
-            "attempt" to sent.sends,
-            "route" to record.route.name,
-            "version" to state.published.table?.version,
-            "revision" to state.published.revision,
-            "records_age" to (now - state.published.lastRead),
-            "endpoint" to choice.endpoint,
-            "address" to endpoint.record.address,
-            "helpers" to choice.helpers.joinToString(" "),
-            "read_time" to choice.readTime,
-            "open" to endpoint.work.size,
-            "expected_first_event" to choice.firstByte,
-            "remaining" to (record.deadline - now)
-        ),
-        ForwardEffect.Send(record.request, attempt.id, targetFor(state, sent, endpoint, choice))
+    )
+    val target = targetFor(state, sent, endpoint, choice)
+    return Step(
+        next,
+        listOfNotNull(
+            routedLog(state, sent, endpoint, choice),
+            countRepeat(record).takeIf { record.sends > 0 },
+            ForwardEffect.Send(record.request, attempt.id, target)
+        )
     )
 }
 
+private fun routedLog(
+    state: GatewayState,
+    record: ForwardRecord,
+    endpoint: EndpointState,
+    choice: ForwardChoice
+) = logEffect(
+    LogEvent.REQUEST_ROUTED,
+    "request" to record.head.callerId,
+    "attempt" to record.sends,
+    "route" to record.route.name,
+    "version" to state.published.table?.version,
+    "revision" to state.published.revision,
+    "records_age" to (state.common.now - state.published.lastRead),
+    "endpoint" to choice.endpoint,
+    "address" to endpoint.record.address,
+    "helpers" to choice.helpers.joinToString(" "),
+    "read_time" to choice.readTime,
+    "open" to endpoint.work.size,
+    "expected_first_event" to choice.firstByte,
+    "remaining" to (record.deadline - state.common.now)
+)
+
 /** Notes the work at the endpoint and its helpers. */
 private fun withWork(
     state: GatewayState,
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ExchangeReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ExchangeReducerTest.kt
@@ -12,10 +12,8 @@
 import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.ExchangeEffect
 import org.gypsumroute.api.ExchangeEvent
-import org.gypsumroute.api.GatewayReport
-import org.gypsumroute.api.HostId
-import org.gypsumroute.api.IncarnationId
-import org.gypsumroute.api.Revision
+import org.gypsumroute.api.Metric
+import org.gypsumroute.api.RuntimeEffect
 
 class ExchangeReducerTest {
     private val peer = EndpointAddress("10.0.0.2", 7000)
@@ -26,18 +24,7 @@
         loads: Map<EndpointId, EngineLoad> = emptyMap(),
         members: List<EndpointAddress> = emptyList(),
         incarnation: String = "1"
-    ) = ExchangeEvent.ReportReceived(
-        peer,
-        GatewayReport(
-            HostId("gateway-2"),
-            IncarnationId(incarnation),
-            sequence,
-            Revision.NONE,
-            storeAnswers = true,
-            loads = loads,
-            members = members
-        )
-    )
+    ) = reportFrom(peer.host, sequence, incarnation, loads = loads, members = members)
 
     private fun GatewayHarness.reports() = effects.filterIsInstance<ExchangeEffect.SendReport>()
 
@@ -136,4 +123,16 @@
         harness.advance(1600.milliseconds)
         assertEquals(3, harness.reports().size)
     }
+
+    @Test
+    fun `a datagram that is no report is logged and counted`() {
+        val harness = readyHarness(endpointOf("e1"))
+        harness.feed(ExchangeEvent.ReportRejected(peer, "unknown version 9"))
+        assertTrue(harness.effects.any { it is RuntimeEffect.Log })
+        assertTrue(
+            harness.effects.any {
+                it is RuntimeEffect.Count && it.metric == Metric.REPORTS_REJECTED
+            }
+        )
+    }
 }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -17,10 +17,13 @@
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.EndpointRecord
 import org.gypsumroute.api.EngineFigures
+import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.Event
+import org.gypsumroute.api.ExchangeEvent
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.GatewayBounds
+import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.IncarnationId
 import org.gypsumroute.api.Moment
@@ -149,6 +152,12 @@
     fun arrive(request: String, head: RequestHead = headOf("/plain/x")): List<Effect> =
         feed(ForwardEvent.Arrived(RequestId(request), head, Bytes(0)))
 
+    /** The clock is read without an event, as at the first one after a pause. */
+    fun wake(): List<Effect> {
+        effects = step(RuntimeEvent.ClockRead(now, ++entropy))
+        return effects
+    }
+
     /** The request's latest attempt ends. */
     fun end(request: String, outcome: AttemptOutcome): List<Effect> {
         val attempt = state.requests.getValue(RequestId(request)).attempt!!.id
@@ -173,8 +182,6 @@
     retryRatio = 0.2,
     retryWindow = 10.seconds,
     retryAllowance = 10,
-    coldFactor = 1.5,
-    coldAllowance = 5,
     endpointReturn = 2500.milliseconds,
     reservationHold = 3.seconds,
     drainTime = 8.seconds
@@ -280,3 +287,26 @@
         feed(RuntimeEvent.Started)
         publish(sampleTable, endpoints.asList())
     }
+
+/** A report of another gateway. */
+internal fun reportFrom(
+    host: String,
+    sequence: Long = 1,
+    incarnation: String = "1",
+    revision: Revision = Revision.NONE,
+    ready: Boolean = true,
+    loads: Map<EndpointId, EngineLoad> = emptyMap(),
+    members: List<EndpointAddress> = emptyList()
+) = ExchangeEvent.ReportReceived(
+    EndpointAddress(host, 7000),
+    GatewayReport(
+        HostId(host),
+        IncarnationId(incarnation),
+        sequence,
+        revision,
+        storeAnswers = true,
+        ready = ready,
+        loads = loads,
+        members = members
+    )
+)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
@@ -6,12 +6,8 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
-import org.gypsumroute.api.ExchangeEvent
-import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.HostId
-import org.gypsumroute.api.IncarnationId
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
@@ -25,18 +21,8 @@
 
     private fun GatewayHarness.known() = state.endpoints.keys.map { it.value }.toSet()
 
-    private fun report(revision: Long) = ExchangeEvent.ReportReceived(
-        EndpointAddress("10.0.0.2", 7000),
-        GatewayReport(
-            HostId("gateway-2"),
-            IncarnationId("gateway-2#1"),
-            revision,
-            Revision(revision),
-            storeAnswers = true,
-            loads = emptyMap(),
-            members = emptyList()
-        )
-    )
+    private fun report(revision: Long) =
+        reportFrom("10.0.0.2", revision, revision = Revision(revision))
 
     @Test
     fun `a gateway is ready once it has a routing table`() {
@@ -122,10 +108,10 @@
         assertEquals(emptyList(), harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>())
         harness.feed(down)
         val asked = harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>().single()
-        assertEquals(HostId("gateway-2"), asked.peer)
+        assertEquals(HostId("10.0.0.2"), asked.peer)
         harness.feed(
             PublishedEvent.SnapshotRead(
-                HostId("gateway-2"),
+                HostId("10.0.0.2"),
                 Revision(9),
                 listOf(PublishedRecord.Table(sampleTable.copy(version = version(4))))
             )
@@ -144,7 +130,7 @@
         assertEquals(1, harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>().size)
         harness.feed(
             PublishedEvent.SnapshotRead(
-                HostId("gateway-2"),
+                HostId("10.0.0.2"),
                 Revision(9),
                 listOf(PublishedRecord.Table(sampleTable))
             )
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -32,10 +32,12 @@
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.CallerLimits
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.Failure
+import org.gypsumroute.api.RequestHead
 
 /** Serves one connection. [traffic] gets each complete request. */
 internal class CallerConnection(private val traffic: ForwardTraffic) :
@@ -89,7 +91,7 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         limit?.cancel(false)
-        receiving?.body?.release()
+        receiving?.release()
         receiving = null
         waiting.forEach(ReferenceCountUtil::release)
         waiting.clear()
@@ -172,6 +174,10 @@
             refuseAndClose(ErrorKind.BODY_TOO_LARGE, "body of $length bytes")
             return
         }
+        if (!traffic.heldBodies.hasRoom(length)) {
+            refuseAndClose(ErrorKind.OVERLOADED, "no room for a body of $length bytes")
+            return
+        }
         if (!isForwardable(message.uri())) {
             refuseAndClose(ErrorKind.MALFORMED_REQUEST, "request target")
             return
@@ -183,7 +189,7 @@
         }
         val line = RequestLine(message.method().name(), message.uri())
         val head = traffic.codec.readHead(line) { message.headers()[it] }
-        receiving = ReceivedRequest(line, head, message.headers())
+        receiving = ReceivedRequest(line, head, message.headers(), traffic.heldBodies)
         setLimit(head.deadline ?: limits.idleTime) {
             refuseAndClose(ErrorKind.REQUEST_INCOMPLETE, "body")
         }
@@ -195,10 +201,12 @@
             content.release()
             return
         }
-        request.body.writeBytes(content.content())
+        request.add(content.content())
         content.release()
         if (request.body.readableBytes() > limits.bodyBytes) {
             refuseAndClose(ErrorKind.BODY_TOO_LARGE, "body over ${limits.bodyBytes} bytes")
+        } else if (!traffic.heldBodies.hasRoom(0)) {
+            refuseAndClose(ErrorKind.OVERLOADED, "no room for more of the body")
         } else if (content is LastHttpContent) {
             receiving = null
             limit?.cancel(false)
@@ -247,9 +255,16 @@
         if (closing) return
         closing = true
         keepAlive = false
-        receiving?.body?.release()
+        receiving?.release()
         receiving = null
-        val failure = Failure(kind, detail)
+        val failure = Failure(
+            kind,
+            detail,
+            retryAfter = RETRY_AFTER.takeIf {
+                kind ==
+                    ErrorKind.OVERLOADED
+            }
+        )
         val headers = refusalHeaders(failure)
         headers[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
         val status = HttpResponseStatus.valueOf(kind.httpStatus)
@@ -276,6 +291,9 @@
         /** Parts of later requests that are kept while one is served. */
         const val MOST_WAITING = 64
         val LINGER = 1.seconds
+
+        /** When a caller that was refused for want of memory may come back. */
+        val RETRY_AFTER = 500.milliseconds
         val TRAILERS = io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE
     }
 }
@@ -283,10 +301,23 @@
 /** A request whose body is not complete yet. */
 internal class ReceivedRequest(
     val line: RequestLine,
-    val head: org.gypsumroute.api.RequestHead,
-    val headers: HttpHeaders
+    val head: RequestHead,
+    val headers: HttpHeaders,
+    private val held: HeldBodies
 ) {
     val body: ByteBuf = Unpooled.buffer(0)
+
+    /** Adds a part of the body. */
+    fun add(part: ByteBuf) {
+        held.add(part.readableBytes())
+        body.writeBytes(part)
+    }
+
+    /** Frees the body. */
+    fun release() {
+        held.remove(body.readableBytes())
+        body.release()
+    }
 }
 
 /** Only such a target can be passed on byte for byte. */
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardExchange.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardExchange.kt
@@ -7,8 +7,8 @@
 import org.gypsumroute.api.RequestId
 
 /**
- * A caller's request while it is served. [body] stays until the end, since a later attempt sends it
- * again. [hadBody] tells whether a length goes with it.
+ * A caller's request while it is served. Its body stays until the end, since a later attempt sends
+ * it again. [hadBody] tells whether a length goes with it.
  */
 internal class ForwardExchange(
     val request: RequestId,
@@ -17,9 +17,11 @@
     val version: HttpVersion,
     val head: RequestHead,
     val headers: HttpHeaders,
-    val body: ByteBuf,
+    private val received: ReceivedRequest,
     val hadBody: Boolean
 ) {
+    val body: ByteBuf get() = received.body
+
     /** The attempt under way. */
     var attempt: EndpointAttempt? = null
 
@@ -34,7 +36,7 @@
 
     /** Frees the bodies. */
     fun release() {
-        body.release()
+        received.release()
         held?.body?.release()
         held = null
     }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
@@ -36,6 +36,9 @@
     /** Open callers' connections. */
     val callers = HashSet<CallerConnection>()
 
+    /** Bodies of requests that are received or served. */
+    val heldBodies = HeldBodies(MOST_HELD_BYTES)
+
     /** What callers may send. */
     @Volatile
     var limits = DEFAULT_LIMITS
@@ -97,7 +100,7 @@
             version = version,
             head = received.head,
             headers = passedOn(received.headers, codec.withheldHeaders),
-            body = received.body,
+            received = received,
             hadBody = received.body.isReadable || received.line.method !in BODILESS_METHODS
         )
         exchanges[exchange.request] = exchange
@@ -163,6 +166,9 @@
             setOf(HttpMethod.GET, HttpMethod.HEAD, HttpMethod.OPTIONS, HttpMethod.TRACE)
                 .map { it.name() }
 
+        /** A quarter of the heap that the deploy file gives the process. */
+        const val MOST_HELD_BYTES = 32L * 1024 * 1024
+
         /** In force until a routing table was read. */
         val DEFAULT_LIMITS = CallerLimits(16 * 1024, 4 * 1024 * 1024, 3.seconds, 15.seconds)
     }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -63,7 +63,7 @@
     private val reports = ReportChannel(
         loop,
         received = { from, report -> offer(ExchangeEvent.ReportReceived(from, report)) },
-        rejected = { _, _ -> }
+        rejected = { from, fault -> offer(ExchangeEvent.ReportRejected(from, fault.detail)) }
     )
     private val traffic = ForwardTraffic(loop, codec, ::offer)
     private val control: ControlThread = ControlThread(
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ReportChannel.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ReportChannel.kt
@@ -25,12 +25,12 @@
 
 /**
  * Sends and receives reports. [received] gets each report and [rejected] each datagram that is
- * none; both are called on the event loop.
+ * none, or null as its sender if the socket failed; both are called on the event loop.
  */
 internal class ReportChannel(
     private val loop: EventLoopGroup,
     private val received: (EndpointAddress, GatewayReport) -> Unit,
-    private val rejected: (EndpointAddress, WireFault) -> Unit
+    private val rejected: (EndpointAddress?, WireFault) -> Unit
 ) {
     private var channel: Channel? = null
 
@@ -68,12 +68,11 @@
 
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             // An address that refuses datagrams shows up here; the next report is tried again.
-            rejected(NOWHERE, WireFault("datagram socket: ${cause.message}"))
+            rejected(null, WireFault("datagram socket: ${cause.message}"))
         }
     }
 
     private companion object {
         const val LARGEST_DATAGRAM = 16 * 1024
-        val NOWHERE = EndpointAddress("", 0)
     }
 }
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallerConnectionTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallerConnectionTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.CallerLimits
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.Failure
@@ -136,4 +137,25 @@
         assertContains(caller.readMessage().lowercase(), "connection: close")
         assertEquals("", caller.readAll())
     }
+
+    /** Many large bodies at once would end the process for want of memory. */
+    @Test
+    fun `bodies beyond the memory for them are refused until others end`() {
+        fixture.limit(strict.copy(bodyBytes = BODY, idleTime = 5.seconds))
+        val head = "POST /a/ HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\nContent-Length: $BODY\r\n\r\n"
+        val arrived = List(MOST_BODIES) {
+            fixture.call(head + "x".repeat(BODY))
+            fixture.next<ForwardEvent.Arrived>()
+        }
+        assertTrue(fixture.call(head).readMessage().startsWith("HTTP/1.1 503 "))
+        fixture.next<ForwardEvent.Rejected>()
+        refuse(arrived.first())
+        fixture.call(head + "x".repeat(BODY))
+        fixture.next<ForwardEvent.Arrived>()
+    }
+
+    private companion object {
+        const val BODY = 8 * 1024 * 1024
+        const val MOST_BODIES = 4
+    }
 }
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -41,7 +41,8 @@
     revision = report.revision.value,
     storeAnswers = report.storeAnswers,
     loads = report.loads.map { (endpoint, load) -> recordOf(endpoint, load) },
-    members = report.members.map { it.toString() }
+    members = report.members.map { it.toString() },
+    ready = report.ready
 )
 
 private fun recordOf(endpoint: EndpointId, load: EngineLoad) = LoadRecord(
@@ -67,6 +68,7 @@
     sequence = record.sequence,
     revision = Revision(record.revision),
     storeAnswers = record.storeAnswers,
+    ready = record.ready,
     loads = record.loads.associate { EndpointId(it.endpoint) to loadOf(it) },
     members = record.members.map(::addressOf)
 )
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
@@ -18,7 +18,8 @@
     @CborLabel(label = 4) val revision: Long,
     @CborLabel(label = 5) val storeAnswers: Boolean,
     @CborLabel(label = 6) val loads: List<LoadRecord> = emptyList(),
-    @CborLabel(label = 7) val members: List<String> = emptyList()
+    @CborLabel(label = 7) val members: List<String> = emptyList(),
+    @CborLabel(label = 8) val ready: Boolean = false
 )
 
 /** Work at one endpoint; times in milliseconds, [urgency] in hundredths. */
