--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.gypsumroute.api.AttemptId
+import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.OrganisationId
@@ -49,8 +50,16 @@
     val gap: Duration get() = route.gapObjective ?: Duration.INFINITE
 }
 
-/** Memory at [endpoint] for a part of a prompt; [held] once the engine said so. */
-data class Reservation(val endpoint: EndpointId, val tokens: Tokens, val held: Boolean = false)
+/**
+ * Memory at [endpoint] for a part of a prompt; [held] once the engine said so. It is released at
+ * [address] also when the endpoint's record is gone, since the engine may go on for a while.
+ */
+data class Reservation(
+    val endpoint: EndpointId,
+    val address: EndpointAddress,
+    val tokens: Tokens,
+    val held: Boolean = false
+)
 
 /** The attempt that is under way at [endpoint]; [helpers] read parts of the prompt. */
 data class Attempt(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
@@ -44,7 +44,8 @@
     if (choice.reservations.isEmpty()) return send(state, record, choice)
     val reservations = choice.reservations.entries.withIndex().associate { (index, wanted) ->
         val id = ReservationId("${state.common.node.incarnation}-${state.nextAttempt}-$index")
-        id to Reservation(wanted.key, wanted.value)
+        val address = state.endpoints.getValue(wanted.key).record.address
+        id to Reservation(wanted.key, address, wanted.value)
     }
     val waiting = record.copy(
         reserving = choice,
@@ -76,24 +77,20 @@
 internal fun releaseReservations(state: GatewayState, record: ForwardRecord): Step<GatewayState> =
     Step(
         state,
-        record.reservations.mapNotNull { (id, reservation) ->
-            state.endpoints[reservation.endpoint]?.let {
-                ReservationEffect.Release(id, reservation.endpoint, it.record.address)
-            }
+        record.reservations.map { (id, reservation) ->
+            ReservationEffect.Release(id, reservation.endpoint, reservation.address)
         }
     )
 
 private fun reserveEffects(state: GatewayState, reservations: Map<ReservationId, Reservation>) =
-    reservations.mapNotNull { (id, reservation) ->
-        state.endpoints[reservation.endpoint]?.let {
-            ReservationEffect.Reserve(
-                id,
-                reservation.endpoint,
-                it.record.address,
-                reservation.tokens,
-                state.bounds.reservationHold
-            )
-        }
+    reservations.map { (id, reservation) ->
+        ReservationEffect.Reserve(
+            id,
+            reservation.endpoint,
+            reservation.address,
+            reservation.tokens,
+            state.bounds.reservationHold
+        )
     }
 
 private fun reduceReserved(state: GatewayState, id: ReservationId): Step<GatewayState> {
@@ -105,6 +102,7 @@
     val noted = state.copy(requests = state.requests.put(record.request, next))
     val choice = record.reserving
     if (choice == null || !next.reservations.values.all { it.held }) return noted.step()
+    if (!stands(noted, next, choice)) return chooseAgain(noted, next, "the choice does not stand")
     return noted.step(
         logEffect(
             LogEvent.MEMORY_RESERVED,
@@ -123,26 +121,35 @@
     val record = holderOf(state, event.reservation) ?: return state.step()
     if (record.reserving == null) return state.step()
     val blamed = record.reservations.getValue(event.reservation).endpoint
-    val freed = record.copy(
-        reserving = null,
-        reservations = record.reservations.clear(),
-        tried = record.tried.add(blamed),
-        refusedReservations = record.refusedReservations + 1
-    )
     val log = logEffect(
         LogEvent.MEMORY_REFUSED,
         "request" to record.head.callerId,
         "endpoint" to blamed,
         "cause" to event.cause
     )
-    return releaseReservations(state, record).then { it.step(log) }.then { next ->
+    val warned = record.copy(tried = record.tried.add(blamed))
+    return state.step(log).then { chooseAgain(it, warned, "no engines have the memory free") }
+}
+
+/** Gives the memory back and makes another choice, a few times at most. */
+private fun chooseAgain(
+    state: GatewayState,
+    record: ForwardRecord,
+    cause: String
+): Step<GatewayState> {
+    val freed = record.copy(
+        reserving = null,
+        reservations = record.reservations.clear(),
+        refusedReservations = record.refusedReservations + 1
+    )
+    return releaseReservations(state, record).then { next ->
         val choice = if (freed.refusedReservations < MOST_REFUSALS) {
             next.policies.placement(questionFor(next, freed))
         } else {
             null
         }
         if (choice == null) {
-            endWithError(next, freed, ErrorKind.OVERLOADED, "no engines have the memory free")
+            endWithError(next, freed, ErrorKind.OVERLOADED, cause)
         } else {
             reserveOrSend(next, freed, choice)
         }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -48,9 +48,22 @@
 }
 
 private fun mayTake(state: GatewayState, record: ForwardRecord, endpoint: EndpointState): Boolean =
-    endpoint.record.service == record.service && !endpoint.record.leaving &&
-        !endpoint.misdirected && endpoint.record.dataCentre !in state.published.dataCentresOut &&
-        endpoint.record.id !in record.tried && mayTakeCold(state, endpoint)
+    isOffered(state, record, endpoint) && endpoint.record.id !in record.tried &&
+        mayTakeCold(state, endpoint)
+
+/** Whether operators and the endpoint itself still want it to get such requests. */
+private fun isOffered(
+    state: GatewayState,
+    record: ForwardRecord,
+    endpoint: EndpointState
+): Boolean = endpoint.record.service == record.service && !endpoint.record.leaving &&
+    !endpoint.misdirected && endpoint.record.dataCentre !in state.published.dataCentresOut
+
+/** Whether an earlier choice still stands: records may have changed since it was made. */
+internal fun stands(state: GatewayState, record: ForwardRecord, choice: ForwardChoice): Boolean =
+    (choice.helpers + choice.endpoint).all { id ->
+        state.endpoints[id]?.let { isOffered(state, record, it) } == true
+    }
 
 /** Each gateway takes an equal share of what all may send to a cold endpoint. */
 private fun mayTakeCold(state: GatewayState, endpoint: EndpointState): Boolean {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ReservationReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ReservationReducerTest.kt
@@ -9,6 +9,7 @@
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ReservationEffect
 import org.gypsumroute.api.ReservationEvent
@@ -113,4 +114,34 @@
         assertEquals(ErrorKind.OVERLOADED, failure.kind)
         assertEquals(RunState.NOT_RUN, failure.runState)
     }
+
+    /** The placement's endpoint was once looked up without a check, which ended the process. */
+    @Test
+    fun `an endpoint that is gone when its memory is reserved is not sent to`() {
+        val harness = harness()
+        harness.arriveLong()
+        val wanted = harness.reserves()
+        val chosen = harness.state.requests.getValue(RequestId("1")).reserving!!.endpoint
+        harness.change(PublishedRecord.EndpointRemoved(chosen))
+        for (reservation in wanted) {
+            harness.feed(ReservationEvent.Reserved(reservation.reservation))
+        }
+        assertTrue(harness.releases().containsAll(wanted.map { it.reservation }))
+        assertTrue(harness.sends.none { it.target.endpoint == chosen })
+        assertTrue(harness.reserves().none { it.endpoint == chosen })
+    }
+
+    /** An engine whose record is gone may still run and hold the memory. */
+    @Test
+    fun `memory is given back at an engine whose record is gone`() {
+        val harness = harness()
+        harness.arriveLong()
+        val wanted = harness.reserves()
+        harness.change(PublishedRecord.EndpointRemoved(wanted.first().endpoint))
+        harness.feed(ForwardEvent.CallerLeft(RequestId("1")))
+        assertEquals(
+            wanted.map { it.reservation }.toSet(),
+            harness.releases().toSet()
+        )
+    }
 }
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BoundedLogAppender.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BoundedLogAppender.kt
@@ -29,6 +29,7 @@
     private val queue = ArrayBlockingQueue<ILoggingEvent>(CAPACITY)
     private val dropped = AtomicLong()
     private val scheduled = AtomicBoolean()
+    private val writing = Any()
     private val writer: ScheduledExecutorService =
         Executors.newSingleThreadScheduledExecutor { task ->
             Thread(task, "log-writer").apply { isDaemon = true }
@@ -63,8 +64,8 @@
         return ++linesInSecond <= limit
     }
 
-    @Synchronized
-    private fun writeWaiting() {
+    /** Not under the appender's lock, which an output that blocks would hold against all others. */
+    private fun writeWaiting() = synchronized(writing) {
         scheduled.set(false)
         val lines = StringBuilder()
         while (true) lines.append(lineOf(queue.poll() ?: break))
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -53,10 +54,10 @@
     unread = load.unread.inWholeMilliseconds,
     readSent = load.readSent.inWholeMilliseconds,
     helpSent = load.helpSent.inWholeMilliseconds,
-    urgency = (load.urgency * HUNDREDTHS).toInt(),
+    urgency = (load.urgency * HUNDREDTHS).roundToInt(),
     stakes = load.stakes.map { stake ->
         StakeRecord(
-            (stake.value * HUNDREDTHS).toInt(),
+            (stake.value * HUNDREDTHS).roundToInt(),
             stake.gap.takeIf { it.isFinite() }?.inWholeMilliseconds?.toInt()
         )
     }
--- /dev/null
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
@@ -0,0 +1,83 @@
+package org.gypsumroute.wire
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EngineLoad
+import org.gypsumroute.api.GatewayReport
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.Revision
+import org.gypsumroute.api.Stake
+
+class ReportCodecTest {
+    private fun Random.time() = nextLong(0, 1_000_000).milliseconds
+
+    private fun Random.load() = EngineLoad(
+        open = nextInt(0, 500),
+        writers = nextInt(0, 500),
+        context = nextLong(0, 10_000_000),
+        unread = time(),
+        readSent = time(),
+        helpSent = time(),
+        urgency = nextInt(0, 10_000) / 100.0,
+        stakes = List(nextInt(0, 4)) {
+            Stake(
+                if (nextBoolean()) Duration.INFINITE else time(),
+                nextInt(0, 10_000) / 100.0
+            )
+        }
+    )
+
+    private fun Random.report() = GatewayReport(
+        host = HostId("gateway-${nextInt()}"),
+        incarnation = IncarnationId("i${nextLong()}"),
+        sequence = nextLong(),
+        revision = Revision(nextLong(0, Long.MAX_VALUE)),
+        storeAnswers = nextBoolean(),
+        ready = nextBoolean(),
+        loads = List(nextInt(0, 5)) { EndpointId("e$it") to load() }.toMap(),
+        members = List(nextInt(0, 5)) { EndpointAddress("10.0.0.$it", nextInt(1, 65_536)) }
+    )
+
+    @Test
+    fun `every report survives the round trip`() {
+        repeat(500) { seed ->
+            val report = Random(seed).report()
+            assertEquals(report, decodeReport(encodeReport(report)).getOrNull(), "seed $seed")
+        }
+    }
+
+    /** Datagrams may come from anywhere; one that throws would end the event loop's reading. */
+    @Test
+    fun `spoiled datagrams are faults and never throw`() {
+        repeat(2000) { seed ->
+            val random = Random(seed)
+            val bytes = encodeReport(random.report())
+            val spoiled = bytes.copyOf(random.nextInt(bytes.size + 1))
+            if (spoiled.isNotEmpty()) {
+                spoiled[random.nextInt(spoiled.size)] = random.nextInt().toByte()
+            }
+            decodeReport(spoiled)
+        }
+        assertNotNull(decodeReport(ByteArray(0)).leftOrNull())
+        assertNotNull(decodeReport(byteArrayOf(9, 1, 2)).leftOrNull())
+    }
+
+    /** Reports go out up to a hundred times a second to every other gateway. */
+    @Test
+    fun `a report of a gateway with work at sixteen engines fits one datagram of a network`() {
+        val loads = List(16) { number ->
+            val stakes = List(3) { Stake((200 * (it + 1)).milliseconds, 3.5) }
+            EndpointId("i-9e16b79e8$number") to Random(number).load().copy(stakes = stakes)
+        }.toMap()
+        val report = Random(1).report().copy(loads = loads)
+        assertTrue(encodeReport(report).size <= 1472, "${encodeReport(report).size} bytes")
+    }
+}
