--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/EngineFigures.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/EngineFigures.kt
@@ -21,6 +21,5 @@
     val readPerMillionPairs: Duration,
     val chunk: Int,
     val stepsPerPass: Int,
-    val stepPerJointRead: Duration,
     val usualAnswer: Tokens
 )
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/RoutingTable.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/RoutingTable.kt
@@ -50,13 +50,7 @@
  * What the endpoints of a service can bear. While an endpoint is cold it takes [coldRate] requests
  * a second; 0 sets no limit. [engine] is null for plain services.
  */
-data class ServiceRule(
-    val service: ServiceId,
-    val healthPath: String,
-    val connectionLimit: Int,
-    val coldRate: Double,
-    val engine: EngineFigures?
-)
+data class ServiceRule(val service: ServiceId, val coldRate: Double, val engine: EngineFigures?)
 
 /** The keys of one organisation as SHA-256 digests; a null [priority] leaves the route's. */
 data class OrganisationKeys(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ClockReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ClockReducer.kt
@@ -20,13 +20,8 @@
     val longestIdle = common.timings.activeHeartbeat + common.timings.pauseThreshold
     val pause = if (common.startupOver && gap > longestIdle) gap else Duration.ZERO
     val next = common.copy(now = reading.at, entropy = reading.entropy, pause = pause)
-    return if (pause >
-        Duration.ZERO
-    ) {
-        Step(restartSilence(next), pauseEffects(pause))
-    } else {
-        next.step()
-    }
+    if (pause == Duration.ZERO) return next.step()
+    return Step(restartSilence(next), pauseEffects(pause))
 }
 
 private fun pauseEffects(pause: Duration): List<Effect> = listOf(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
@@ -59,9 +59,8 @@
                 .fold(Duration.ZERO) { sum, part -> sum + part.readTime },
             readSent = readSent,
             helpSent = helpSent,
-            urgency = running.filterNot {
-                it.writing
-            }.sumOf { it.value / it.objective.toSeconds() },
+            urgency = running.filterNot { it.writing }
+                .sumOf { it.value / it.objective.toSeconds() },
             stakes = EngineLoad.merged(running.map { Stake(it.gap, it.value) })
         )
     }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EngineModel.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EngineModel.kt
@@ -30,9 +30,6 @@
         return step * figures.stepsPerPass
     }
 
-    /** The longest that reading can stretch one pass for a prompt read at [perToken]. */
-    fun longestReadInPass(perToken: Duration): Duration = perToken * tokensPerPass.toDouble()
-
     /** Passes needed to read [tokens] while others write. */
     fun passesFor(tokens: Long): Long = (tokens + tokensPerPass - 1) / tokensPerPass
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -30,9 +30,7 @@
 internal fun reducePublished(state: GatewayState, event: PublishedEvent): Step<GatewayState> =
     when (event) {
         is PublishedEvent.SnapshotRead ->
-            if (event.from ==
-                null
-            ) {
+            if (event.from == null) {
                 reduceSnapshot(state, event)
             } else {
                 reducePeerSnapshot(state, event)
@@ -126,9 +124,8 @@
     records: List<PublishedRecord>
 ): Step<GatewayState> {
     val listed = records.filterIsInstance<PublishedRecord.Endpoint>().map { it.record.id }.toSet()
-    val out = records.filterIsInstance<PublishedRecord.DataCentreOut>().map {
-        it.dataCentre
-    }.toSet()
+    val out =
+        records.filterIsInstance<PublishedRecord.DataCentreOut>().map { it.dataCentre }.toSet()
     return state.step()
         .thenEach(state.endpoints.keys.filterNot { it in listed }) { next, id ->
             removeEndpoint(next, id)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -198,7 +198,6 @@
     readPerMillionPairs = 91_700.nanoseconds,
     chunk = 2048,
     stepsPerPass = 46,
-    stepPerJointRead = 100.microseconds,
     usualAnswer = Tokens(1500)
 )
 
@@ -228,8 +227,8 @@
     version = TableVersion(version),
     routes = routes.asList(),
     services = listOf(
-        ServiceRule(plainService, "/healthz", 100, 0.0, null),
-        ServiceRule(modelService, "/healthz", 100, 26.0, sampleFigures)
+        ServiceRule(plainService, 0.0, null),
+        ServiceRule(modelService, 26.0, sampleFigures)
     ).associateBy { it.service },
     organisations = listOf(OrganisationKeys(OrganisationId("o"), setOf(KEY_DIGEST), null)),
     limits = CallerLimits(16_384, 1_000_000, 3.seconds, 15.seconds)
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -10,11 +10,13 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
@@ -137,7 +139,7 @@
     /** Ends an answer that has begun so that it cannot look complete. */
     fun cut() {
         serving = null
-        if (!chunked) channel.config().setOption(io.netty.channel.ChannelOption.SO_LINGER, 0)
+        if (!chunked) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
     }
 
@@ -294,7 +296,7 @@
 
         /** When a caller that was refused for want of memory may come back. */
         val RETRY_AFTER = 500.milliseconds
-        val TRAILERS = io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE
+        val TRAILERS = EmptyHttpHeaders.INSTANCE
     }
 }
 
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/CapacityMain.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/CapacityMain.kt
@@ -40,6 +40,12 @@
         row("entry: heap, bytes, by open requests") { heapOfRequests(it).toDouble() }
         row("entry: heap, bytes, by organisations") { heapOfOrganisations(it).toDouble() }
         row("agent: heap, bytes, by leases") { heapOfLeases(it).toDouble() }
+        row("gateway: short request, µs, by engines", ::forwardedShort)
+        row("gateway: long request, µs, by engines", ::forwardedLong)
+        row("gateway: report taken in, µs, by engines with work", ::reportTaken)
+        row("gateway: report, bytes, by engines with work", ::reportBytes)
+        row("gateway: heap, bytes, by engines") { heapOfEngines(it).toDouble() }
+        row("gateway: heap, bytes, by open requests") { heapOfForwarded(it).toDouble() }
         println()
         println("| message | bytes |")
         println("| --- | --- |")
--- /dev/null
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
@@ -0,0 +1,216 @@
+/*
+ * Costs of a gateway's control thread.
+ */
+package org.gypsumroute.capacity
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.AttemptId
+import org.gypsumroute.api.AttemptOutcome
+import org.gypsumroute.api.Bytes
+import org.gypsumroute.api.CallerLimits
+import org.gypsumroute.api.DataCentreId
+import org.gypsumroute.api.Effect
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EndpointRecord
+import org.gypsumroute.api.EngineFigures
+import org.gypsumroute.api.EngineLoad
+import org.gypsumroute.api.ExchangeEvent
+import org.gypsumroute.api.ForwardEffect
+import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.GatewayBounds
+import org.gypsumroute.api.GatewayReport
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.NodeRole
+import org.gypsumroute.api.PublishedEvent
+import org.gypsumroute.api.PublishedRecord
+import org.gypsumroute.api.RegionId
+import org.gypsumroute.api.Repetition
+import org.gypsumroute.api.RequestHead
+import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.Revision
+import org.gypsumroute.api.Route
+import org.gypsumroute.api.RouteName
+import org.gypsumroute.api.RoutingTable
+import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.ServiceRule
+import org.gypsumroute.api.ServiceShare
+import org.gypsumroute.api.Stake
+import org.gypsumroute.api.TableVersion
+import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.NodeIdentity
+import org.gypsumroute.core.Timings
+import org.gypsumroute.core.defaultPolicies
+import org.gypsumroute.core.gateway.ExchangeState
+import org.gypsumroute.core.gateway.ForwardPlacements
+import org.gypsumroute.core.gateway.GatewayPolicies
+import org.gypsumroute.wire.encodeReport
+
+/** One short request from arrival to end, by the engines of its service. */
+internal fun forwardedShort(engines: Int): Double = forwarded(engines, SHORT_PROMPT)
+
+/** One long request, for which groups of engines are weighed. */
+internal fun forwardedLong(engines: Int): Double = forwarded(engines, LONG_PROMPT)
+
+/** One report of another gateway, by the engines that it has work at. */
+internal fun reportTaken(engines: Int): Double {
+    val gateway = sampleGateway(engines)
+    var sequence = 0L
+    return microsecondsPerCall {
+        gateway.feed(ExchangeEvent.ReportReceived(peer, sampleReport(engines, ++sequence)))
+    }
+}
+
+/** Bytes of a report, by the engines that its sender has work at. */
+internal fun reportBytes(engines: Int): Double =
+    encodeReport(sampleReport(engines, 1)).size.toDouble()
+
+/** Heap of a gateway that knows this many engines. */
+internal fun heapOfEngines(engines: Int): Long = retainedBytes { sampleGateway(engines) }
+
+/** Heap that open requests take on the control thread. */
+internal fun heapOfForwarded(requests: Int): Long = retainedBytes {
+    sampleGateway(ENGINES_OF_A_MODEL).also { gateway ->
+        repeat(requests) { gateway.feed(arrival("open-$it", SHORT_PROMPT)) }
+    }
+}
+
+private fun forwarded(engines: Int, prompt: Long): Double {
+    val gateway = sampleGateway(engines)
+    var number = 0
+    return microsecondsPerCall {
+        val id = "request-${number++}"
+        val attempt = gateway.feed(arrival(id, prompt)).firstAttempt()
+        gateway.feed(ForwardEvent.StreamBegun(RequestId(id), attempt))
+        val completed = AttemptOutcome.Completed(OK, Duration.ZERO)
+        gateway.feed(ForwardEvent.AttemptEnded(RequestId(id), attempt, completed))
+    }
+}
+
+private fun List<Effect>.firstAttempt(): AttemptId =
+    firstNotNullOf { (it as? ForwardEffect.Send)?.attempt }
+
+private fun arrival(id: String, prompt: Long) = ForwardEvent.Arrived(
+    RequestId(id),
+    RequestHead(
+        callerId = id,
+        hostName = "a.example",
+        path = "/a/b",
+        keyDigest = null,
+        deadline = 10.seconds,
+        promptTokens = Tokens(prompt),
+        outputLimit = null,
+        expectedOutput = null,
+        resumed = false
+    ),
+    Bytes(0)
+)
+
+private fun sampleGateway(engines: Int) = SampleProcess(
+    GatewayState(
+        CommonState(
+            NodeIdentity(
+                HostId("gateway"),
+                IncarnationId("1"),
+                NodeRole.GATEWAY,
+                RegionId("region"),
+                DataCentreId("zone-0")
+            ),
+            Timings(),
+            defaultPolicies
+        ),
+        GatewayBounds(0.2, 10.seconds, 100, 2.seconds, 3.seconds, 8.seconds),
+        GatewayPolicies(ForwardPlacements.leastLoss),
+        ExchangeState(EndpointAddress("10.0.0.1", 7000), emptyList())
+    )
+).apply {
+    feed(RuntimeEvent.Started)
+    val records = List(engines) { PublishedRecord.Endpoint(sampleEngine(it)) }
+    val table = PublishedRecord.Table(sampleTable)
+    feed(PublishedEvent.SnapshotRead(null, Revision(1), listOf(table) + records))
+}
+
+private fun sampleEngine(number: Int) = EndpointRecord(
+    id = EndpointId("engine-$number"),
+    service = model,
+    address = EndpointAddress("10.1.${number / 250}.${number % 250}", 80),
+    dataCentre = DataCentreId("zone-${number % 4}"),
+    slots = 16,
+    leaving = false,
+    coldFor = Duration.ZERO,
+    born = 1
+)
+
+private fun sampleReport(engines: Int, sequence: Long) = GatewayReport(
+    host = HostId("gateway-2"),
+    incarnation = IncarnationId("1"),
+    sequence = sequence,
+    revision = Revision(1),
+    storeAnswers = true,
+    ready = true,
+    loads = List(engines) { EndpointId("engine-$it") to sampleLoad }.toMap(),
+    members = emptyList()
+)
+
+private val model = ServiceId("model")
+private val peer = EndpointAddress("10.0.0.2", 7000)
+private val sampleLoad = EngineLoad(
+    open = 2,
+    writers = 1,
+    context = 20_000,
+    unread = 30.milliseconds,
+    readSent = 90.seconds,
+    stakes = listOf(Stake(200.milliseconds, 2.5))
+)
+private val sampleTable = RoutingTable(
+    version = TableVersion(1),
+    routes = listOf(
+        Route(
+            name = RouteName("route"),
+            hostName = "a.example",
+            prefix = "/a/",
+            repetition = Repetition.RESUMABLE,
+            streaming = true,
+            timeout = 10.seconds,
+            objective = 1.seconds,
+            gapObjective = 200.milliseconds,
+            priority = 1,
+            shares = listOf(ServiceShare(model, 1)),
+            attempts = 2,
+            public = true
+        )
+    ),
+    services = mapOf(
+        model to ServiceRule(
+            model,
+            0.0,
+            EngineFigures(
+                slots = 16,
+                memory = Tokens(450_000),
+                step = 925.microseconds,
+                stepPerWriter = 7.microseconds,
+                stepPerThousandContext = 2540.nanoseconds,
+                readPerToken = 3906.nanoseconds,
+                readPerMillionPairs = 91_700.nanoseconds,
+                chunk = 2048,
+                stepsPerPass = 46,
+                usualAnswer = Tokens(1500)
+            )
+        )
+    ),
+    organisations = null,
+    limits = CallerLimits(16_384, 4_194_304, 3.seconds, 15.seconds)
+)
+
+private const val SHORT_PROMPT = 5_000L
+private const val LONG_PROMPT = 210_000L
+private const val ENGINES_OF_A_MODEL = 255
+private const val OK = 200
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/MeasureMain.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/MeasureMain.kt
@@ -98,7 +98,12 @@
             File(plots, "${plot.name}.svg").writeText(svgOf(plot))
         }
         val page = File(output, "MEASUREMENTS.md")
-        page.writeText(reportOf(facts, results))
+        val before = if (page.exists()) page.readText() else ""
+        val kept = before.indexOf(KEPT_CHAPTER).takeIf { it >= 0 }?.let { before.substring(it) }
+        page.writeText(reportOf(facts, results) + kept?.let { "\n$it" }.orEmpty())
         echo("wrote $page")
     }
 }
+
+/** Begins the chapter of the page that this program does not write. */
+private const val KEPT_CHAPTER = "## On the users' platform"
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/RunFacts.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/measure/RunFacts.kt
@@ -17,10 +17,11 @@
     appendLine("# Measurements")
     appendLine()
     appendLine(
-        "Written by `bin/measure`; edits are lost. Each figure stands beside its baseline of the " +
-            "same run. Stand-in engines simulate prefill, decode, memory and cold starts; all " +
-            "processes run on the loopback interface of one machine. Times to first token count " +
-            "from the planned arrival, percentiles come from HdrHistogram."
+        "Written by `bin/measure`; edits are lost, except in the last chapter. Each figure " +
+            "stands beside its baseline of the same run. Stand-in engines simulate prefill, " +
+            "decode, memory and cold starts; all processes run on the loopback interface of one " +
+            "machine. Times to first token count from the planned arrival, percentiles come from " +
+            "HdrHistogram."
     )
     appendLine()
     appendLine("- command: `${facts.command}`")
