Remove gateway state that can be derived and second copies of two settings

Cause: a read of the whole change. Whether the store answers followed from the count of failed reads; changed work was marked by a flag that never differed from the report timer; the limit of a planned stop stood in the settings and in the bounds; the time after which a refused caller may come back, and the renewal timer of reservations, stood twice. The times of sending and the bytes of an incomplete event were kept and never read.

Ruled out: sharing the sample engine figures between the core's tests and bin/capacity, which live in modules that do not see each other.

Change: one place for each; behaviour as before.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
@@ -68,12 +68,11 @@
 
 /**
  * A request's part of the work at one endpoint. [readTime] is what the endpoint had to read for it
- * when the work was sent at [sentAt]; a helper only reads. [context] tokens are held until the end,
- * also by a helper with reserved memory. The stream is worth [value] if no pause is longer than
+ * when the work was sent; a helper only reads. [context] tokens are held until the end, also by a
+ * helper with reserved memory. The stream is worth [value] if no pause is longer than
  * [gap].
  */
 data class EndpointWork(
-    val sentAt: Moment,
     val readTime: Duration,
     val context: Long,
     val objective: Duration,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -88,14 +88,13 @@
 /** Reports changed work soon, but not more often than the number of gateways allows. */
 internal fun spreadChanges(before: GatewayState, state: GatewayState): Step<GatewayState> {
     val exchange = state.exchange
-    val changed = exchange.changed || before.endpoints !== state.endpoints
-    if (!changed || exchange.members.isEmpty()) return state.step()
-    if (exchange.changeTimerSet) return state.step()
+    val changed = before.endpoints !== state.endpoints
+    if (!changed || exchange.members.isEmpty() || exchange.changeTimerSet) return state.step()
     val wait = exchange.lastSent + intervalFor(exchange.members.size) - state.common.now
     return if (wait <= Duration.ZERO) {
         sendReport(state)
     } else {
-        state.copy(exchange = exchange.copy(changed = true, changeTimerSet = true))
+        state.copy(exchange = exchange.copy(changeTimerSet = true))
             .step(RuntimeEffect.SetTimer(TimerId.ReportChange, wait))
     }
 }
@@ -134,7 +133,7 @@
     val exchange = state.exchange
     val now = state.common.now
     val targets = exchange.members.keys + exchange.candidates.keys + exchange.seeds - exchange.own
-    val next = exchange.copy(sequence = exchange.sequence + 1, lastSent = now, changed = false)
+    val next = exchange.copy(sequence = exchange.sequence + 1, lastSent = now)
     val report = GatewayReport(
         host = state.common.node.host,
         incarnation = state.common.node.incarnation,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeState.kt
@@ -12,7 +12,8 @@
  * What this gateway knows of the others.
  *
  * [seeds] are addresses from the settings, [candidates] those that others named but that were not
- * heard yet, with the time of naming. [changed] tells that own work changed since the last report.
+ * heard yet, with the time of naming. [changeTimerSet] tells that own work changed and a report is
+ * due.
  */
 data class ExchangeState(
     val own: EndpointAddress,
@@ -21,7 +22,6 @@
     val candidates: PersistentMap<EndpointAddress, Moment> = persistentMapOf(),
     val sequence: Long = 0,
     val lastSent: Moment = Moment.START,
-    val changed: Boolean = false,
     val changeTimerSet: Boolean = false
 )
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
@@ -62,9 +62,4 @@
 )
 
 /** The attempt that is under way at [endpoint]; [helpers] read parts of the prompt. */
-data class Attempt(
-    val id: AttemptId,
-    val endpoint: EndpointId,
-    val helpers: List<EndpointId>,
-    val sentAt: Moment
-)
+data class Attempt(val id: AttemptId, val endpoint: EndpointId, val helpers: List<EndpointId>)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -246,7 +246,7 @@
     val published = state.published
     val now = state.common.now
     val silent = now - published.lastRead
-    val next = published.copy(storeAnswers = true, failures = 0, lastRead = now)
+    val next = published.copy(failures = 0, lastRead = now)
     val outage = published.revision != Revision.NONE &&
         (!published.storeAnswers || silent > LONGEST_CALM_SILENCE)
     return if (outage) {
@@ -267,7 +267,7 @@
     val published = state.published
     val failures = published.failures + 1
     val wait = (FIRST_BACKOFF * failures).coerceAtMost(LONGEST_BACKOFF)
-    val next = state.copy(published = published.copy(storeAnswers = false, failures = failures))
+    val next = state.copy(published = published.copy(failures = failures))
     val again = RuntimeEffect.SetTimer(TimerId.PublishedRead, wait)
     return if (published.storeAnswers) {
         next.step(logEffect(LogEvent.STORE_LOST, "cause" to event.cause), again)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedState.kt
@@ -11,20 +11,21 @@
 /**
  * What was read of the published records besides the endpoints.
  *
- * [storeAnswers] tells how the latest read ended and [lastRead] when one ended well. While it does
- * not, [askingPeer] tells that another gateway was asked. Records of
- * [lapsed] endpoints were removed around an outage of the store and may return until
- * [returnsUntil].
+ * [failures] counts the reads of the store that failed since one ended well, at [lastRead].
+ * Meanwhile [askingPeer] tells that another gateway was asked. Records of [lapsed] endpoints were
+ * removed around an outage of the store and may return until [returnsUntil].
  */
 data class PublishedState(
     val revision: Revision = Revision.NONE,
     val table: RoutingTable? = null,
     val routes: RouteIndex = RouteIndex.EMPTY,
     val dataCentresOut: PersistentSet<DataCentreId> = persistentSetOf(),
-    val storeAnswers: Boolean = true,
     val failures: Int = 0,
     val askingPeer: Boolean = false,
     val lastRead: Moment = Moment.START,
     val lapsed: PersistentSet<EndpointId> = persistentSetOf(),
     val returnsUntil: Moment = Moment.START
-)
+) {
+    /** How the latest read ended. */
+    val storeAnswers: Boolean get() = failures == 0
+}
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -154,4 +154,4 @@
     then { it.step(*effects) }
 
 /** When a caller whose request did not run may come back. */
-internal val RETRY_AFTER: Duration = 500.milliseconds
+val RETRY_AFTER: Duration = 500.milliseconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
@@ -51,14 +51,10 @@
         reserving = choice,
         reservations = record.reservations.putAll(reservations)
     )
-    val renewal = RuntimeEffect.SetTimer(
-        TimerId.ReservationRenewal,
-        state.bounds.reservationHold / RENEWALS_IN_HOLD
-    )
     return state.copy(
         requests = state.requests.put(record.request, waiting),
         nextAttempt = state.nextAttempt + 1
-    ).let { Step(it, reserveEffects(it, reservations) + renewal) }
+    ).let { Step(it, reserveEffects(it, reservations) + renewalTimer(it)) }
 }
 
 /** Begins the time of all reservations anew. */
@@ -66,13 +62,14 @@
     val held = state.requests.values.flatMap { it.reservations.entries }
         .associate { it.key to it.value }
     if (held.isEmpty()) return state.step()
-    val again = RuntimeEffect.SetTimer(
-        TimerId.ReservationRenewal,
-        state.bounds.reservationHold / RENEWALS_IN_HOLD
-    )
-    return Step(state, reserveEffects(state, held) + again)
+    return Step(state, reserveEffects(state, held) + renewalTimer(state))
 }
 
+private fun renewalTimer(state: GatewayState) = RuntimeEffect.SetTimer(
+    TimerId.ReservationRenewal,
+    state.bounds.reservationHold / RENEWALS_IN_HOLD
+)
+
 /** Gives back all memory of a request. */
 internal fun releaseReservations(state: GatewayState, record: ForwardRecord): Step<GatewayState> =
     Step(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -81,7 +81,7 @@
 ): Step<GatewayState> {
     val now = state.common.now
     val endpoint = state.endpoints.getValue(choice.endpoint)
-    val attempt = Attempt(AttemptId(state.nextAttempt), choice.endpoint, choice.helpers, now)
+    val attempt = Attempt(AttemptId(state.nextAttempt), choice.endpoint, choice.helpers)
     val sent = record.copy(
         attempt = attempt,
         sends = record.sends + 1,
@@ -138,15 +138,13 @@
     choice: ForwardChoice
 ): PersistentMap<EndpointId, EndpointState> {
     val now = state.common.now
-    val work =
-        EndpointWork(
-            sentAt = now,
-            readTime = choice.readTime,
-            context = record.size.context,
-            objective = record.route.objective,
-            gap = record.gap,
-            value = record.size.value
-        )
+    val work = EndpointWork(
+        readTime = choice.readTime,
+        context = record.size.context,
+        objective = record.route.objective,
+        gap = record.gap,
+        value = record.size.value
+    )
     var endpoints = state.endpoints
     for (id in choice.helpers) {
         val helper = endpoints[id] ?: continue
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -34,12 +34,12 @@
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.CallerLimits
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.Failure
 import org.gypsumroute.api.RequestHead
+import org.gypsumroute.core.gateway.RETRY_AFTER
 
 /** Serves one connection. [traffic] gets each complete request. */
 internal class CallerConnection(private val traffic: ForwardTraffic) :
@@ -293,9 +293,6 @@
         /** Parts of later requests that are kept while one is served. */
         const val MOST_WAITING = 64
         val LINGER = 1.seconds
-
-        /** When a caller that was refused for want of memory may come back. */
-        val RETRY_AFTER = 500.milliseconds
         val TRAILERS = EmptyHttpHeaders.INSTANCE
     }
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
@@ -18,9 +18,6 @@
     /** Whether bytes of an incomplete event are held. */
     val holdsPart: Boolean get() = pending.isReadable
 
-    /** Bytes held of an incomplete event. */
-    val heldBytes: Int get() = pending.readableBytes()
-
     /** Adds bytes and returns all events that are complete now, or null. The caller releases it. */
     fun add(bytes: ByteBuf): ByteBuf? {
         pending.writeBytes(bytes)
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -188,7 +188,7 @@
     LogOutput.configure(settings.logFormat, settings.host)
     lateinit var signals: StopSignals
     val process = GatewayProcess(settings, codec, source, orders) { signals.finished(it) }
-    signals = StopSignals(settings.drainLimit) { process.drain() }
+    signals = StopSignals(settings.bounds.drainTime) { process.drain() }
     Signal.handle(Signal("HUP")) { process.checkSettings(readSettings) }
     process.watchSettings(readSettings)
     return runUntilStopped(signals, process::start, process::stop)
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewaySettings.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewaySettings.kt
@@ -1,7 +1,6 @@
 package org.gypsumroute.gateway
 
 import java.net.InetSocketAddress
-import kotlin.time.Duration
 import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.GatewayBounds
@@ -24,6 +23,5 @@
     val exchangeAddress: EndpointAddress,
     val seeds: List<EndpointAddress>,
     val bounds: GatewayBounds,
-    val drainLimit: Duration,
     val logFormat: LogFormat
 )
