Read every published figure with its own range, and replace what cannot be used

Change: settings, tables, records and headers read each number with the range in which it has a meaning. The weight of a traffic split may have a fraction. The count of gateways no longer counts the own address twice where it is a seed.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayBounds.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayBounds.kt
@@ -18,7 +18,7 @@
 data class GatewayBounds(
     val retryRatio: Double,
     val retryWindow: Duration,
-    val retryAllowance: Int,
+    val retryAllowance: Double,
     val endpointGracePeriod: Duration,
     val reservationHold: Duration,
     val drainTime: Duration
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedRecord.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedRecord.kt
@@ -2,8 +2,12 @@
 
 /** One published record, or its removal. */
 sealed interface PublishedRecord {
-    /** The routing table. */
-    data class Table(val table: RoutingTable) : PublishedRecord
+    /**
+     * The routing table. The [replacedFigures] say which of its figures could not be used, and what
+     * the table has instead.
+     */
+    data class Table(val table: RoutingTable, val replacedFigures: List<String> = emptyList()) :
+        PublishedRecord
 
     /** An endpoint published itself. */
     data class Endpoint(val record: EndpointRecord) : PublishedRecord
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/RoutingTable.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/RoutingTable.kt
@@ -44,7 +44,7 @@
 )
 
 /** A service that gets requests of a route, in proportion to its [weight] among the others. */
-data class WeightedService(val service: ServiceId, val weight: Int)
+data class WeightedService(val service: ServiceId, val weight: Double)
 
 /**
  * Capacity of a service's endpoints. A cold endpoint gets at most [coldRequestsPerSecond] requests
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
@@ -88,7 +88,7 @@
 /** Chooses one of the route's services at random, in proportion to their weights. */
 internal fun chooseService(route: Route, entropy: Long): ServiceId {
     val total = route.trafficSplit.sumOf { it.weight }
-    var remainder = Math.floorMod(mixBits(entropy), total.coerceAtLeast(1).toLong())
+    var remainder = total * Math.floorMod(mixBits(entropy), SPLIT_STEPS) / SPLIT_STEPS
     for (share in route.trafficSplit) {
         remainder -= share.weight
         if (remainder < 0) return share.service
@@ -96,6 +96,9 @@
     return route.trafficSplit.first().service
 }
 
+/** Number of equal steps by which a random number divides the traffic of a route. */
+private const val SPLIT_STEPS = 1L shl 20
+
 private fun refuse(
     state: GatewayState,
     event: ForwardEvent.Arrived,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -150,7 +150,7 @@
 
 /** Number of gateways that share the limits of the deployment, including this one. */
 internal val GatewayState.gatewayCount: Int
-    get() = maxOf(exchange.members.size + 1, exchange.seeds.size + 1)
+    get() = (exchange.members.keys + exchange.seeds + exchange.ownAddress).size
 
 private fun sendReport(state: GatewayState): Step<GatewayState> {
     val exchange = state.exchange
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -81,6 +81,9 @@
             exchange = state.exchange.copy(seeds = event.seeds)
         ).step(logEffect(LogEvent.SETTINGS_RELOADED, "seeds" to event.seeds.size))
 
+        is SettingsEvent.FieldReplaced ->
+            state.step(logEffect(LogEvent.SETTING_REPLACED, "problem" to event.problem))
+
         is SettingsEvent.Rejected ->
             state.step(logEffect(LogEvent.SETTINGS_REJECTED, "problem" to event.problem))
     }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -17,7 +17,6 @@
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.Revision
-import org.gypsumroute.api.RoutingTable
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
@@ -150,7 +149,7 @@
 
 private fun applyRecord(state: GatewayState, record: PublishedRecord): Step<GatewayState> =
     when (record) {
-        is PublishedRecord.Table -> acceptTable(state, record.table)
+        is PublishedRecord.Table -> acceptTable(state, record)
 
         is PublishedRecord.Endpoint -> putEndpoint(state, record.record)
 
@@ -170,7 +169,8 @@
     }
 
 /** Accepts a table only if its version is higher, since reads may arrive out of order. */
-private fun acceptTable(state: GatewayState, table: RoutingTable): Step<GatewayState> {
+private fun acceptTable(state: GatewayState, record: PublishedRecord.Table): Step<GatewayState> {
+    val table = record.table
     val current = state.published.table
     if (current != null && table.version <= current.version) return state.step()
     val published = state.published.copy(table = table, routes = RouteIndex.of(table))
@@ -182,7 +182,15 @@
             "routes" to table.routes.size
         ),
         ForwardEffect.SetCallerLimits(table.limits)
-    )
+    ).thenEach(record.replacedFigures) { next, problem ->
+        next.step(
+            logEffect(
+                LogEvent.FIGURE_REPLACED,
+                "version" to table.version,
+                "problem" to problem
+            )
+        )
+    }
 }
 
 private fun putEndpoint(state: GatewayState, record: EndpointRecord): Step<GatewayState> {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ArrivalReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ArrivalReducerTest.kt
@@ -54,8 +54,8 @@
     fun `services of a route get requests in proportion to their weights`() {
         val route = routeOf("/s/", plainService, Repetition.IDEMPOTENT).copy(
             trafficSplit = listOf(
-                WeightedService(ServiceId("a"), 90),
-                WeightedService(ServiceId("b"), 10)
+                WeightedService(ServiceId("a"), 90.0),
+                WeightedService(ServiceId("b"), 10.0)
             )
         )
         val chosen = (0L until 10_000L).map { chooseService(route, it) }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -181,7 +181,7 @@
 internal val sampleBounds = GatewayBounds(
     retryRatio = 0.2,
     retryWindow = 10.seconds,
-    retryAllowance = 10,
+    retryAllowance = 10.0,
     endpointGracePeriod = 2500.milliseconds,
     reservationHold = 3.seconds,
     drainTime = 8.seconds
@@ -218,7 +218,7 @@
     objective = if (streaming) 300.milliseconds else 100.milliseconds,
     gapObjective = if (streaming) 200.milliseconds else null,
     priority = 1,
-    trafficSplit = listOf(WeightedService(service, 1)),
+    trafficSplit = listOf(WeightedService(service, 1.0)),
     maxAttempts = maxAttempts,
     public = public
 )
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -141,13 +141,13 @@
         offer(RuntimeEvent.DrainRequested)
     }
 
-    /** Reads the settings with [read] and applies a change, if there is one. */
-    fun checkSettings(read: () -> SettingsEvent?) {
-        read()?.let { offer(it) }
+    /** Reads the settings with [read] and applies what they changed. */
+    fun checkSettings(read: () -> List<SettingsEvent>) {
+        read().forEach { offer(it) }
     }
 
     /** Calls [checkSettings] once a second from now on. */
-    fun watchSettings(read: () -> SettingsEvent?) {
+    fun watchSettings(read: () -> List<SettingsEvent>) {
         scope.launch {
             while (true) {
                 delay(SETTINGS_POLL_INTERVAL)
@@ -178,21 +178,24 @@
 }
 
 /**
- * Runs a gateway until it is stopped and returns the exit code. [readSettings] returns changed
- * settings, the fault in them, or null; it is called once a second and on SIGHUP.
+ * Runs a gateway until it is stopped and returns the exit code. [startEvents] tell what is to be
+ * logged about the settings at the start. [readSettings] returns changed settings and faults in
+ * them; it is called once a second and on SIGHUP.
  */
 fun runGateway(
     settings: GatewaySettings,
     codec: ForwardCodec,
     source: (EventSink) -> PublishedSource,
     reservations: (EventSink) -> ReservationClient,
-    readSettings: () -> SettingsEvent?
+    startEvents: List<SettingsEvent>,
+    readSettings: () -> List<SettingsEvent>
 ): Int {
     LogOutput.configure(settings.logFormat, settings.host)
     lateinit var signals: StopSignals
     val process = GatewayProcess(settings, codec, source, reservations) { signals.finished(it) }
     signals = StopSignals(settings.bounds.drainTime) { process.drain() }
     Signal.handle(Signal("HUP")) { process.checkSettings(readSettings) }
+    process.checkSettings { startEvents }
     process.watchSettings(readSettings)
     return runUntilStopped(signals, process::start, process::stop)
 }
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
@@ -127,7 +127,7 @@
             Timings(),
             defaultPolicies
         ),
-        GatewayBounds(0.2, 10.seconds, 100, 2.seconds, 3.seconds, 8.seconds),
+        GatewayBounds(0.2, 10.seconds, 100.0, 2.seconds, 3.seconds, 8.seconds),
         GatewayPolicies(ForwardPlacements.leastPredictedLoss),
         ExchangeState(EndpointAddress("10.0.0.1", 7000), emptyList())
     )
@@ -183,7 +183,7 @@
             objective = 1.seconds,
             gapObjective = 200.milliseconds,
             priority = 1,
-            trafficSplit = listOf(WeightedService(sampleModel, 1)),
+            trafficSplit = listOf(WeightedService(sampleModel, 1.0)),
             maxAttempts = 2,
             public = true
         )
