Let a silent attempt go on until another endpoint takes over, and bound what peers may send

A whole answer had one limit for all of its rest. A failure answer, an unsigned answer or an event without end grew in memory until the time limit. The response to a pipelined request freed its connection before it was written, so that parts of the next request could overtake its first parts. A planned stop closed the port and reset connections that callers had opened, and ended the process while a last answer or a request was still on its way.

A request without an answer so far moves where it may run again; a stream in progress stays open while another endpoint resumes it, the first that delivers stops the other, and a refused resumption changes nothing. Bytes without a complete event, or under 1 KiB a limit, count as silence. Answers and events over 1 MiB end their attempt. New requests of a stopping gateway are refused as not run, its port stays open until its callers have their answers.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEffect.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEffect.kt
@@ -2,7 +2,10 @@
 
 /** Effects on requests that a gateway forwards. */
 sealed interface ForwardEffect : Effect {
-    /** Starts an attempt; its end is reported by `AttemptEnded`. */
+    /**
+     * Starts an attempt; its end is reported by `AttemptEnded`. If another attempt of the request is
+     * open, the first of them that delivers a part of the answer stops the other.
+     */
     data class Send(val request: RequestId, val attempt: AttemptId, val target: ForwardTarget) :
         ForwardEffect
 
@@ -26,6 +29,6 @@
     /** Sets the limits for callers from now on. */
     data class SetCallerLimits(val limits: CallerLimits) : ForwardEffect
 
-    /** Stops accepting connections and closes idle ones, while the process drains. */
-    data object StopAccepting : ForwardEffect
+    /** Closes the connections of callers that have no request open, while the process drains. */
+    data object CloseIdleCallers : ForwardEffect
 }
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEvent.kt
@@ -15,6 +15,18 @@
     /** The first event of a stream was relayed to the caller. */
     data class StreamBegun(val request: RequestId, val attempt: AttemptId) : ForwardEvent
 
+    /**
+     * An attempt has been silent for longer than its limit; it goes on unless it is abandoned. The
+     * event is repeated while the attempt stays silent.
+     */
+    data class AttemptStalled(val request: RequestId, val attempt: AttemptId) : ForwardEvent
+
+    /**
+     * An attempt delivered a part of the answer, and the other attempts of the request were stopped
+     * before that. Their ends are not reported.
+     */
+    data class AttemptTookOver(val request: RequestId, val attempt: AttemptId) : ForwardEvent
+
     /** An attempt ended; nothing more of it is relayed to the caller. */
     data class AttemptEnded(
         val request: RequestId,
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardTarget.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardTarget.kt
@@ -7,9 +7,9 @@
  *
  * [remaining] is the time to the request's deadline when the effect was issued; the endpoint stops
  * its work then. An engine admits work in the order of [priority], 0 first; it is null for requests
- * that are not streamed. [helpers] prefill parts of the prompt. The attempt is given up if the
- * first byte of the answer takes longer than [firstByteLimit], or a next event of a stream longer
- * than [gapLimit].
+ * that are not streamed. [helpers] prefill parts of the prompt. The attempt counts as
+ * stalled if the first byte of the answer takes longer than [firstByteLimit], or a next event of a
+ * stream longer than [gapLimit].
  */
 data class ForwardTarget(
     val endpoint: EndpointId,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -17,7 +17,7 @@
 /**
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
  * endpoints of the published records. [drainStartedAt] is the time at which a planned stop began,
- * or null; [acceptingStopped] tells whether the gateway has stopped accepting connections.
+ * or null; [refusingNew] tells whether the gateway has stopped accepting connections.
  */
 data class GatewayState(
     override val common: CommonState,
@@ -30,5 +30,5 @@
     val retryBudgets: PersistentMap<ServiceId, RetryBudget> = persistentMapOf(),
     val nextAttempt: Long = 1,
     val drainStartedAt: Moment? = null,
-    val acceptingStopped: Boolean = false
+    val refusingNew: Boolean = false
 ) : NodeState
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
@@ -9,6 +9,7 @@
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.OrganisationKeys
+import org.gypsumroute.api.RetryAdvice
 import org.gypsumroute.api.Route
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.ServiceId
@@ -23,6 +24,7 @@
 internal fun reduceArrived(state: GatewayState, event: ForwardEvent.Arrived): Step<GatewayState> {
     val head = event.head
     val published = state.published
+    if (state.refusingNew) return refuse(state, event, ErrorKind.DRAINING, "the gateway stops")
     // Without a routing table, valid routes and keys cannot be told from invalid ones.
     val table = published.table
         ?: return refuse(state, event, ErrorKind.NOT_READY, "no routing table")
@@ -105,7 +107,7 @@
     kind: ErrorKind,
     detail: String
 ): Step<GatewayState> {
-    val retryAfter = if (kind == ErrorKind.NOT_READY) RETRY_AFTER else null
+    val retryAfter = RETRY_AFTER.takeIf { kind.retry == RetryAdvice.LATER }
     return state.step(
         logEffect(
             LogEvent.REQUEST_REFUSED,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -44,13 +44,18 @@
     event: ForwardEvent.AttemptEnded
 ): Step<GatewayState> {
     val record = state.requests[event.request] ?: return state.step()
-    val attempt = record.attempt?.takeIf { it.id == event.attempt } ?: return state.step()
+    val attempt = record.openAttempts.find { it.id == event.attempt } ?: return state.step()
     val outcome = event.outcome
     val released = recordOutcome(releaseWork(state, record, attempt), attempt, outcome)
     if (outcome is AttemptOutcome.Completed) {
-        return endServed(released, record, attempt, outcome)
+        return endServed(released, record.withoutAttempt(attempt), attempt, outcome)
             .then { it.step(countAttempt(record, outcome)) }
     }
+    if (attempt == record.stalledAttempt) {
+        val replaced = record.copy(stalledAttempt = null)
+        return released.copy(requests = released.requests.put(record.request, replaced))
+            .step(attemptLog(record, attempt.endpoint, outcome), countAttempt(record, outcome))
+    }
     val neverSent = outcome is AttemptOutcome.NeverSent
     val withoutAttempt = record.copy(
         attempt = null,
@@ -81,6 +86,8 @@
     return when {
         choice != null -> reserveOrSend(state, record, choice)
 
+        record.stalledAttempt != null -> continueStalled(state, record)
+
         record.failureAnswerHeld && !record.answerStarted ->
             endWithHeldFailure(state, record, causeOf(outcome))
 
@@ -90,7 +97,7 @@
     }
 }
 
-private fun mayRetry(state: GatewayState, record: ForwardRecord): Boolean {
+internal fun mayRetry(state: GatewayState, record: ForwardRecord): Boolean {
     val repetition = record.route.repetition
     val safeToRunAgain = !record.mayHaveRun || repetition != Repetition.AT_MOST_ONCE
     val answerAllowsRetry = !record.answerStarted || repetition == Repetition.RESUMABLE
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
@@ -20,6 +20,9 @@
 /**
  * One open request of a caller.
  *
+ * [attempt] is the attempt in progress. [stalledAttempt] is an earlier one whose stream paused for
+ * longer than its limit; it stays open until one of the two delivers the next event.
+ *
  * A lower [priority] is more urgent. [sendCount] counts the attempts, except those that ended
  * before a byte was sent; [triedEndpoints] are not chosen again. [mayHaveRun] is false only while
  * no endpoint can have run the request. [answerStarted] tells whether the caller received a part of
@@ -38,6 +41,7 @@
     val arrivedAt: Moment,
     val deadline: Moment,
     val attempt: Attempt? = null,
+    val stalledAttempt: Attempt? = null,
     val sendCount: Int = 0,
     val triedEndpoints: PersistentSet<EndpointId> = persistentSetOf(),
     val mayHaveRun: Boolean = false,
@@ -48,6 +52,15 @@
     val failedChoices: Int = 0,
     val reservations: PersistentMap<ReservationId, Reservation> = persistentMapOf()
 ) {
+    /** The attempts whose ends have not been reported. */
+    val openAttempts: List<Attempt> get() = listOfNotNull(attempt, stalledAttempt)
+
+    /** The record after the end of one of its open attempts. */
+    fun withoutAttempt(ended: Attempt): ForwardRecord = copy(
+        attempt = attempt.takeIf { it != ended },
+        stalledAttempt = stalledAttempt.takeIf { it != ended }
+    )
+
     /** The longest pause that the stream tolerates; infinite for answers sent as a whole. */
     val gapObjective: Duration get() = route.gapObjective ?: Duration.INFINITE
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
@@ -1,6 +1,7 @@
 /*
- * A planned stop of a gateway: it reports itself as not ready at once, later stops accepting
- * connections, and exits once its requests have ended.
+ * A planned stop of a gateway: it reports itself as not ready at once, later refuses new requests,
+ * and exits once its requests have ended. Its port stays open until then, because closing it would
+ * reset connections that callers have opened already.
  */
 package org.gypsumroute.core.gateway
 
@@ -34,21 +35,21 @@
     }
 
 /**
- * Stops accepting connections. If no other gateway is ready, the load balancer has nowhere else to
- * send callers, so this gateway continues as long as the drain time allows.
+ * Refuses new requests from now on. If no other gateway is ready, the load balancer has nowhere else
+ * to send callers, so this gateway continues as long as the drain time allows.
  */
-internal fun stopAcceptingIfReplaced(state: GatewayState): Step<GatewayState> {
+internal fun refuseNewIfReplaced(state: GatewayState): Step<GatewayState> {
     val since = state.drainStartedAt ?: return state.step()
     val timeLeft = since + (state.bounds.drainTime - OPEN_REQUESTS_RESERVE) - state.common.now
     val otherReady = recentPeerReports(state).any { it.ready }
     return if (otherReady || timeLeft <= Duration.ZERO) {
-        state.copy(acceptingStopped = true).step(
+        state.copy(refusingNew = true).step(
             logEffect(
                 LogEvent.CALLERS_CLOSED,
                 "requests" to state.requests.size,
                 "others_ready" to otherReady
             ),
-            ForwardEffect.StopAccepting
+            ForwardEffect.CloseIdleCallers
         )
     } else {
         state.step(RuntimeEffect.SetTimer(TimerId.DrainSettled, minOf(timeLeft, RECHECK_INTERVAL)))
@@ -76,9 +77,9 @@
     return now + predictedTime <= since + state.bounds.drainTime
 }
 
-/** Exits once connections are no longer accepted and all requests have ended. */
+/** Exits once new requests are refused and all others have ended. */
 internal fun finishGatewayDrain(state: GatewayState): Step<GatewayState> {
-    val idle = state.acceptingStopped && state.requests.isEmpty()
+    val idle = state.refusingNew && state.requests.isEmpty()
     if (state.common.drain != DrainPhase.DRAINING || !idle) return state.step()
     return state.copy(common = state.common.copy(drain = DrainPhase.FINISHED))
         .step(logEffect(LogEvent.DRAIN_FINISHED), RuntimeEffect.Exit(0))
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
@@ -14,6 +14,9 @@
 /** Outcome of requests that were answered with an endpoint's failure. */
 internal const val ENDPOINT_FAILED = "endpoint_failed"
 
+/** Outcome of attempts that were given up because they were silent. */
+private const val STALLED = "stalled"
+
 /** Outcome of requests whose answer was passed on completely. */
 internal const val SERVED = "served"
 
@@ -44,6 +47,12 @@
         MetricLabels(service = record.service, outcome = outcomeLabel(outcome))
     )
 
+/** Counts an attempt that was given up because it was silent. */
+internal fun countStall(record: ForwardRecord): Effect = RuntimeEffect.Count(
+    Metric.ATTEMPTS,
+    MetricLabels(service = record.service, outcome = STALLED)
+)
+
 internal fun countRead(event: PublishedEvent): Effect = RuntimeEffect.Count(
     Metric.STORE_READS,
     MetricLabels(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -70,7 +70,7 @@
         is TimerId.ReservationRenewal -> renewReservations(state)
         is TimerId.ReportBeat -> reducePeriodicReport(state)
         is TimerId.ReportChange -> reduceChangeReport(state)
-        is TimerId.DrainSettled -> stopAcceptingIfReplaced(state)
+        is TimerId.DrainSettled -> refuseNewIfReplaced(state)
         else -> state.step()
     }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -20,6 +20,7 @@
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 /** Ends a request whose whole answer was passed on. */
 internal fun endServed(
@@ -96,35 +97,37 @@
 
 internal fun reduceCallerLeft(state: GatewayState, request: RequestId): Step<GatewayState> {
     val record = state.requests[request] ?: return state.step()
-    return abandonAttempt(state, record).then { next ->
-        closeRequest(next, record, ErrorKind.CALLER_LEFT.code).andThen(
-            logEffect(
-                LogEvent.CALLER_LEFT,
-                "request" to record.head.callerRequestId,
-                "route" to record.route.name,
-                "endpoint" to record.attempt?.endpoint,
-                "begun" to record.answerStarted,
-                "took" to (state.common.now - record.arrivedAt)
-            )
+    return closeRequest(state, record, ErrorKind.CALLER_LEFT.code).andThen(
+        logEffect(
+            LogEvent.CALLER_LEFT,
+            "request" to record.head.callerRequestId,
+            "route" to record.route.name,
+            "endpoint" to record.attempt?.endpoint,
+            "begun" to record.answerStarted,
+            "took" to (state.common.now - record.arrivedAt)
         )
-    }
+    )
 }
 
 /** Ends a request whose deadline has passed. */
 internal fun reduceForwardDeadline(state: GatewayState, request: RequestId): Step<GatewayState> {
     val record = state.requests[request] ?: return state.step()
-    val attempted = record.attempt != null
-    return abandonAttempt(state, record).then { next ->
-        val ended = record.copy(attempt = null, mayHaveRun = record.mayHaveRun || attempted)
-        endWithError(next, ended, ErrorKind.DEADLINE_EXCEEDED, "the time of the request is over")
-    }
+    val ended = record.copy(mayHaveRun = record.mayHaveRun || record.attempt != null)
+    return endWithError(
+        state,
+        ended,
+        ErrorKind.DEADLINE_EXCEEDED,
+        "the time of the request is over"
+    )
 }
 
-private fun abandonAttempt(state: GatewayState, record: ForwardRecord): Step<GatewayState> {
-    val attempt = record.attempt ?: return state.step()
-    return releaseWork(state, record, attempt)
-        .step(ForwardEffect.Abandon(record.request, attempt.id))
-}
+/** Stops an attempt and removes its work; its end is not reported. */
+internal fun abandonAttempt(
+    state: GatewayState,
+    record: ForwardRecord,
+    attempt: Attempt
+): Step<GatewayState> = releaseWork(state, record, attempt)
+    .step(ForwardEffect.Abandon(record.request, attempt.id))
 
 /** Removes the request's work from its endpoint and helpers. */
 internal fun releaseWork(
@@ -140,12 +143,17 @@
     return state.copy(endpoints = endpoints)
 }
 
-/** Removes the request, releases the memory reserved for it and records its metrics. */
+/**
+ * Removes the request, stops its open attempts, releases the memory reserved for it and records its
+ * metrics.
+ */
 private fun closeRequest(
     state: GatewayState,
     record: ForwardRecord,
     outcome: String
-): Step<GatewayState> = releaseReservations(state, record).then {
+): Step<GatewayState> = state.step().thenEach(record.openAttempts) { next, attempt ->
+    abandonAttempt(next, record, attempt)
+}.then { releaseReservations(it, record) }.then {
     Step(
         it.copy(requests = it.requests.remove(record.request)),
         measureEnd(record, outcome, it.common.now - record.arrivedAt) +
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
@@ -7,6 +7,7 @@
  */
 package org.gypsumroute.core.gateway
 
+import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.ReservationEffect
@@ -118,8 +119,8 @@
     event: ReservationEvent.Refused
 ): Step<GatewayState> {
     val record = recordHolding(state, event.reservation) ?: return state.step()
-    if (record.pendingChoice == null) return state.step()
     val refusing = record.reservations.getValue(event.reservation).endpoint
+    if (record.pendingChoice == null) return reduceRenewalRefused(state, record, event, refusing)
     val log = logEffect(
         LogEvent.MEMORY_REFUSED,
         "request" to record.head.callerRequestId,
@@ -131,6 +132,26 @@
         .then { placeAgain(it, withoutRefusing, "no engines have the memory free") }
 }
 
+/**
+ * Logs that memory in use could not be renewed. The attempt goes on: the refusal may be that of a
+ * lost call, which the next renewal repeats, and an engine that drops the memory ends the attempt.
+ */
+private fun reduceRenewalRefused(
+    state: GatewayState,
+    record: ForwardRecord,
+    event: ReservationEvent.Refused,
+    refusing: EndpointId
+): Step<GatewayState> = state.step(
+    logEffect(
+        LogEvent.MEMORY_REFUSED,
+        "request" to record.head.callerRequestId,
+        "endpoint" to refusing,
+        "reservation" to event.reservation,
+        "in_use" to true,
+        "cause" to event.cause
+    )
+)
+
 /** Releases the memory and makes another choice, unless [MAX_FAILED_CHOICES] have failed. */
 private fun placeAgain(
     state: GatewayState,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -13,7 +13,6 @@
 import org.gypsumroute.api.ForwardTarget
 import org.gypsumroute.api.HelperTarget
 import org.gypsumroute.api.LogEvent
-import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.logEffect
@@ -177,7 +176,6 @@
     choice: ForwardChoice
 ): ForwardTarget {
     val remaining = record.deadline - state.common.now
-    val retryAllowed = mayRetryElsewhere(state, record)
     return ForwardTarget(
         endpoint = endpoint.record.id,
         address = endpoint.record.address,
@@ -190,16 +188,11 @@
         },
         streaming = record.route.streaming,
         repetition = record.route.repetition,
-        firstByteLimit = if (retryAllowed) firstByteLimit(record, choice) else remaining,
-        gapLimit = if (retryAllowed) gapLimit(record) else remaining
+        firstByteLimit = firstByteLimit(record, choice),
+        gapLimit = gapLimit(record)
     )
 }
 
-/** Whether the request may be sent to another endpoint if this attempt becomes silent. */
-private fun mayRetryElsewhere(state: GatewayState, record: ForwardRecord): Boolean =
-    record.route.repetition != Repetition.AT_MOST_ONCE &&
-        record.sendCount < record.route.maxAttempts && retryBudgetAllows(state, record)
-
 /** Wait for a first byte that points to a fault of the endpoint rather than to its load. */
 private fun firstByteLimit(record: ForwardRecord, choice: ForwardChoice): Duration = maxOf(
     record.route.objective * FIRST_BYTE_LIMIT_FACTOR,
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ExchangeReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ExchangeReducerTest.kt
@@ -14,6 +14,7 @@
 import org.gypsumroute.api.ExchangeEvent
 import org.gypsumroute.api.Metric
 import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.SettingsEvent
 
 class ExchangeReducerTest {
     private val peer = EndpointAddress("10.0.0.2", 7000)
@@ -119,6 +120,17 @@
         assertEquals(1, harness.state.gatewayCount)
     }
 
+    /** A gateway that counts itself twice would use less of each shared limit than it may. */
+    @Test
+    fun `the own address among the seeds counts once`() {
+        val harness = readyHarness(endpointOf("e1"))
+        val own = harness.state.exchange.ownAddress
+        harness.feed(SettingsEvent.Changed(sampleBounds, listOf(own, peer)))
+        assertEquals(2, harness.state.gatewayCount)
+        harness.feed(report(1))
+        assertEquals(2, harness.state.gatewayCount)
+    }
+
     @Test
     fun `a gateway sends periodic reports without any work`() {
         val harness = readyHarness(endpointOf("e1"))
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -52,6 +52,9 @@
     private var closing = false
     private var requestStarted = false
 
+    /** Whether a response is complete but not written to the socket yet. */
+    private var finishing = false
+
     /** Parts of pipelined requests, which wait until the current request has its response. */
     private val pipelined = ArrayDeque<HttpObject>()
     private var timeout: ScheduledFuture<*>? = null
@@ -61,7 +64,8 @@
     val unsentBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
 
     /** Whether no request is being received or served. */
-    val isIdle: Boolean get() = serving == null && receiving == null && !requestStarted
+    val isIdle: Boolean
+        get() = serving == null && receiving == null && !requestStarted && !finishing
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -74,7 +78,7 @@
             ReferenceCountUtil.release(message)
             return
         }
-        if (serving == null) {
+        if (serving == null && !finishing) {
             process(message)
         } else if (pipelined.size < MAX_PIPELINED_MESSAGES) {
             pipelined.addLast(message)
@@ -99,14 +103,14 @@
         receiving = null
         pipelined.forEach(ReferenceCountUtil::release)
         pipelined.clear()
-        traffic.callers.remove(this)
+        traffic.callerClosed(this)
         val exchange = serving ?: return
         serving = null
         traffic.callerDisconnected(exchange)
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (channel.isWritable) serving?.attempt?.connection?.resumeReading()
+        if (channel.isWritable) serving?.attempts?.forEach { it.connection?.resumeReading() }
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
@@ -205,7 +209,7 @@
         val line = RequestLine(message.method().name(), message.uri())
         val head = traffic.codec.readHead(line) { message.headers()[it] }
         receiving = ReceivedRequest(line, head, message.headers(), traffic.bodyMemory)
-        setTimeout(head.timeout ?: limits.idleTimeout) {
+        setTimeout((head.timeout ?: limits.idleTimeout).coerceAtMost(MAX_BODY_TIME)) {
             refuseAndClose(ErrorKind.REQUEST_INCOMPLETE, "body")
         }
     }
@@ -234,9 +238,10 @@
         val close = !keepAlive || closing || traffic.draining
         closing = close
         setTimeout(limits.idleTimeout) { channel.close() }
-        val written = channel.writeAndFlush(last)
         serving = null
         requestStarted = false
+        finishing = true
+        val written = channel.writeAndFlush(last)
         if (close) {
             written.addListener(ChannelFutureListener.CLOSE)
         } else {
@@ -244,8 +249,12 @@
         }
     }
 
+    /** Goes on with parts of later requests, in the order in which they arrived. */
     private fun processPipelined() {
-        while (serving == null && !closing) process(pipelined.removeFirstOrNull() ?: return)
+        finishing = false
+        while (serving == null && !finishing && !closing) {
+            process(pipelined.removeFirstOrNull() ?: return)
+        }
     }
 
     private fun setConnectionHeader(response: HttpResponse) {
@@ -307,6 +316,9 @@
         /** Maximum number of parts of pipelined requests that are kept while one is served. */
         const val MAX_PIPELINED_MESSAGES = 64
         val LINGERING_CLOSE_TIME = 1.seconds
+
+        /** A body that takes longer is refused, whatever time its caller states. */
+        val MAX_BODY_TIME = 60.seconds
         val TRAILERS = EmptyHttpHeaders.INSTANCE
     }
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerServer.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerServer.kt
@@ -32,8 +32,8 @@
         return bound.localAddress() as InetSocketAddress
     }
 
-    /** Stops accepting connections; open ones are served on. */
-    fun stopAccepting() {
+    /** Closes the port; connections that were accepted are served on. */
+    fun stop() {
         listener?.close()
     }
 
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -1,6 +1,7 @@
 /*
  * One attempt to serve a request at an endpoint: connects, writes the request with its remaining
- * time, and reads the response. Reports exactly one outcome unless it is abandoned.
+ * time, and reads the response. Reports exactly one outcome unless it is abandoned. Silence does
+ * not end it, but is reported, so that the control thread can decide.
  */
 package org.gypsumroute.gateway
 
@@ -40,7 +41,12 @@
     /** Reader of the response, or null before its head arrived. */
     var responseReader: ResponseReader? = null
         private set
+
+    /** Whether the response began and then paused for longer than its limit. */
+    var isStalled = false
+        private set
     private var ended = false
+    private var bytesSinceTimeout = 0L
     private var timeout: ScheduledFuture<*>? = null
 
     /** Starts on an idle connection or on a new one. */
@@ -72,9 +78,18 @@
     fun responseStarted(response: HttpResponse, head: ResponseHead) {
         if (ended) return
         responseReader = ResponseReader(this, response, head, traffic)
-        restartTimeout()
+        // The first byte of a stream is that of its first event.
+        if (!target.streaming) restartTimeout()
     }
 
+    /** Called with each part of a response that is not a stream of events. */
+    fun bytesReceived(count: Int) {
+        bytesSinceTimeout += count
+    }
+
+    /** Whether a part of the response was sent to the caller, and more of it keeps arriving. */
+    val isDelivering: Boolean get() = responseReader?.deliveryStarted == true && !isStalled
+
     /** Called when the response is complete; the connection may serve other attempts by then. */
     fun responseComplete() {
         if (ended) return
@@ -91,7 +106,9 @@
     /** Restarts the time limit; called after the head and after complete events of a stream. */
     fun restartTimeout() {
         timeout?.cancel(false)
-        startTimeout(target.gapLimit, "no further part of the answer within ${target.gapLimit}")
+        isStalled = false
+        bytesSinceTimeout = 0
+        startTimeout(target.gapLimit)
     }
 
     private fun write(opened: EndpointConnection) {
@@ -102,7 +119,7 @@
             return
         }
         connection = opened
-        startTimeout(target.firstByteLimit, "no answer within ${target.firstByteLimit}")
+        startTimeout(target.firstByteLimit)
         opened.send(this, requestFor(remaining))
     }
 
@@ -126,15 +143,20 @@
         )
     }
 
-    private fun startTimeout(limit: Duration, cause: String) {
+    private fun startTimeout(limit: Duration) {
         timeout =
-            loop.schedule({ timeOut(cause) }, limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            loop.schedule({ timeOut(limit) }, limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
-    private fun timeOut(cause: String) {
+    private fun timeOut(limit: Duration) {
         if (ended) return
-        connection?.close()
-        connectionLost(cause)
+        if (bytesSinceTimeout >= MIN_BYTES_PER_TIMEOUT) {
+            restartTimeout()
+            return
+        }
+        isStalled = responseReader?.deliveryStarted == true
+        startTimeout(limit)
+        traffic.attemptStalled(this)
     }
 
     private fun finish(outcome: AttemptOutcome) {
@@ -146,7 +168,7 @@
         ended = true
         timeout?.cancel(false)
         responseReader?.release()
-        if (exchange.attempt === this) exchange.attempt = null
+        exchange.attempts.remove(this)
     }
 
     private companion object {
@@ -159,5 +181,8 @@
         val MAX_IDLE_AT_MOST_ONCE = 500.milliseconds
         val MAX_IDLE = 10.seconds
         val MIN_REMAINING = 1.milliseconds
+
+        /** With fewer bytes within a time limit, a response counts as silent. */
+        const val MIN_BYTES_PER_TIMEOUT = 1024L
     }
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -137,6 +137,10 @@
         } finally {
             content.release()
         }
+        if (current.responseReader?.isOversized == true) {
+            fail(current, "an answer or event without end")
+            return
+        }
         if (content is LastHttpContent && failure == null) finish(current)
     }
 
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
@@ -15,6 +15,9 @@
     var lastEventId: String? = null
         private set
 
+    /** Number of bytes of the incomplete event that is buffered. */
+    val bufferedBytes: Int get() = pending.readableBytes()
+
     /** Whether bytes of an incomplete event are buffered. */
     val hasPartialEvent: Boolean get() = pending.isReadable
 
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardExchange.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardExchange.kt
@@ -23,8 +23,8 @@
 ) {
     val body: ByteBuf get() = received.body
 
-    /** The current attempt, or null between attempts. */
-    var attempt: EndpointAttempt? = null
+    /** The open attempts; more than one only while an earlier one is stalled. */
+    val attempts = ArrayList<EndpointAttempt>(1)
 
     /** The last failure response of an endpoint, which may be relayed to the caller. */
     var failureResponse: BufferedResponse? = null
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
@@ -10,6 +10,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
@@ -33,6 +35,9 @@
     private val server = CallerServer(loop, this)
     private var nextRequest = 0L
 
+    /** What [whenCallersServed] is to call, or null. */
+    private var onCallersServed: (() -> Unit)? = null
+
     /** Open connections of callers. */
     val callers = HashSet<CallerConnection>()
 
@@ -55,7 +60,7 @@
     /** Executes an effect on the event loop; returns immediately. */
     fun execute(effect: ForwardEffect) {
         val receivedAt = TimeSource.Monotonic.markNow()
-        loop.execute { executeOnLoop(effect, receivedAt) }
+        loop.execute { executeSafely(effect, receivedAt) }
     }
 
     /** Sends `Connection: close` with each response from now on. */
@@ -63,6 +68,30 @@
         draining = true
     }
 
+    /**
+     * Closes the port and calls [action] once all callers have their complete answers, or after
+     * [limit]. Connections that were accepted before are answered, also if their request is still
+     * arriving.
+     */
+    fun whenCallersServed(limit: Duration, action: () -> Unit) = loop.execute {
+        server.stop()
+        callers.toList().forEach { it.closeIfIdle() }
+        onCallersServed = action
+        if (callers.isEmpty()) finishServing()
+        loop.schedule(::finishServing, limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    /**
+     * Executes an effect. A failure ends the request, because nobody else would answer its caller.
+     */
+    private fun executeSafely(effect: ForwardEffect, receivedAt: TimeMark) = try {
+        executeOnLoop(effect, receivedAt)
+    } catch (exception: IllegalArgumentException) {
+        onFailure(effect, exception)
+    } catch (exception: IllegalStateException) {
+        onFailure(effect, exception)
+    }
+
     private fun executeOnLoop(effect: ForwardEffect, receivedAt: TimeMark) {
         when (effect) {
             is ForwardEffect.Send -> send(effect, receivedAt)
@@ -74,16 +103,13 @@
             is ForwardEffect.Cut -> closeExchange(effect.request)?.caller?.abortResponse()
 
             is ForwardEffect.Abandon ->
-                exchanges[effect.request]?.attempt?.takeIf { it.id == effect.attempt }?.abandon()
+                exchanges[effect.request]?.attempts?.find { it.id == effect.attempt }?.abandon()
 
             is ForwardEffect.CloseConnections -> connections.closeIdle(effect.address)
 
             is ForwardEffect.SetCallerLimits -> limits = effect.limits
 
-            is ForwardEffect.StopAccepting -> {
-                server.stopAccepting()
-                callers.toList().forEach { it.closeIfIdle() }
-            }
+            is ForwardEffect.CloseIdleCallers -> callers.toList().forEach { it.closeIfIdle() }
         }
     }
 
@@ -115,10 +141,21 @@
         return exchange
     }
 
+    /** Called when a caller's connection closed. */
+    fun callerClosed(caller: CallerConnection) {
+        callers.remove(caller)
+        if (callers.isEmpty()) finishServing()
+    }
+
+    private fun finishServing() {
+        val action = onCallersServed ?: return
+        onCallersServed = null
+        action()
+    }
+
     /** Called when the caller's connection closed before the response was complete. */
     fun callerDisconnected(exchange: ForwardExchange) {
         if (exchanges[exchange.request] !== exchange) return
-        exchange.attempt?.abandon()
         closeExchange(exchange.request)
         emit(ForwardEvent.CallerLeft(exchange.request))
     }
@@ -131,14 +168,46 @@
     fun streamStarted(attempt: EndpointAttempt) =
         emit(ForwardEvent.StreamBegun(attempt.exchange.request, attempt.id))
 
+    fun attemptStalled(attempt: EndpointAttempt) =
+        emit(ForwardEvent.AttemptStalled(attempt.exchange.request, attempt.id))
+
+    /**
+     * Called before an attempt delivers a part of the answer. Stops the other attempts, so that the
+     * answer is never joined from two of them without a resumption in between.
+     */
+    fun takeOver(attempt: EndpointAttempt) {
+        val others = attempt.exchange.attempts.filter { it !== attempt }
+        if (others.isEmpty()) return
+        others.forEach { it.abandon() }
+        emit(ForwardEvent.AttemptTookOver(attempt.exchange.request, attempt.id))
+    }
+
     fun attemptEnded(attempt: EndpointAttempt, outcome: AttemptOutcome) {
         val request = attempt.exchange.request
         if (outcome is AttemptOutcome.Completed) closeExchange(request)
         emit(ForwardEvent.AttemptEnded(request, attempt.id, outcome))
     }
 
+    private fun onFailure(effect: ForwardEffect, exception: Exception) {
+        val send = effect as? ForwardEffect.Send ?: throw exception
+        exchanges[send.request]?.attempts?.find { it.id == send.attempt }?.abandon()
+        emit(
+            ForwardEvent.AttemptEnded(
+                send.request,
+                send.attempt,
+                AttemptOutcome.NeverSent("cannot be sent: ${exception.javaClass.simpleName}")
+            )
+        )
+    }
+
     private fun send(effect: ForwardEffect.Send, receivedAt: TimeMark) {
         val exchange = exchanges[effect.request] ?: return
+        val delivering = exchange.attempts.find { it.isDelivering }
+        if (delivering != null) {
+            // The attempt that seemed stalled went on before it could be replaced.
+            emit(ForwardEvent.AttemptTookOver(effect.request, delivering.id))
+            return
+        }
         val attempt = EndpointAttempt(
             exchange,
             effect.attempt,
@@ -147,7 +216,7 @@
             loop.next() as EventLoop,
             this
         )
-        exchange.attempt = attempt
+        exchange.attempts += attempt
         attempt.start(connections)
     }
 
@@ -160,7 +229,10 @@
     }
 
     private fun closeExchange(request: RequestId): ForwardExchange? =
-        exchanges.remove(request)?.also { it.release() }
+        exchanges.remove(request)?.also { exchange ->
+            exchange.attempts.toList().forEach { it.abandon() }
+            exchange.release()
+        }
 
     private companion object {
         val BODILESS_METHODS =
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -88,7 +88,9 @@
         ),
         handlers = EffectHandlers(
             setReady = { ready = it },
-            exit = onExit,
+            exit = { code ->
+                traffic.whenCallersServed(settings.bounds.drainTime) { onExit(code) }
+            },
             published = { published.execute(it) },
             forward = { traffic.execute(it) },
             exchange = { effect ->
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
@@ -43,15 +43,24 @@
                 forwardEvents(eventSplitter, it)
             }
 
-            relaying -> exchange.caller.sendPart(bytes.retainedSlice())
+            relaying -> {
+                attempt.bytesReceived(bytes.readableBytes())
+                exchange.caller.sendPart(bytes.retainedSlice())
+            }
 
             else -> {
+                attempt.bytesReceived(bytes.readableBytes())
                 bufferedBody.writeBytes(bytes)
                 if (bufferedBody.readableBytes() > MAX_BUFFERED_BYTES && success) startRelay()
             }
         }
     }
 
+    /** Whether more is buffered than any valid answer needs, so that the attempt has to end. */
+    val isOversized: Boolean
+        get() = (eventSplitter?.bufferedBytes ?: bufferedBody.readableBytes()) > MAX_BUFFERED_BYTES &&
+            !relaying
+
     /**
      * Applies backpressure: stops reading from the endpoint while too much is unsent to the caller.
      * Called after each read from the endpoint's connection.
@@ -98,6 +107,7 @@
         splitter.hasPartialEvent -> AttemptOutcome.Lost("stream ended inside an event")
 
         else -> {
+            traffic.takeOver(attempt)
             startResponse()
             exchange.caller.endResponse()
             AttemptOutcome.Completed(status.code(), longestPause)
@@ -119,6 +129,7 @@
 
     private fun forwardEvents(splitter: EventSplitter, complete: ByteBuf) {
         val first = !deliveryStarted
+        traffic.takeOver(attempt)
         startResponse()
         deliveryStarted = true
         exchange.lastEventId = splitter.lastEventId ?: exchange.lastEventId
@@ -148,7 +159,10 @@
     }
 
     private companion object {
-        /** Successful responses larger than this are forwarded while they arrive. */
+        /**
+         * Successful responses larger than this are forwarded while they arrive. A failure response
+         * or an event that is larger is not accepted.
+         */
         const val MAX_BUFFERED_BYTES = 1024 * 1024
 
         /** Unsent bytes to the caller above which reading from the endpoint pauses. */
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallerConnectionTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallerConnectionTest.kt
@@ -3,10 +3,13 @@
  */
 package org.gypsumroute.gateway
 
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -133,6 +136,32 @@
         assertContains(caller.readMessage().lowercase(), "connection: close")
     }
 
+    /** Guards against requests that a planned stop cuts off while they arrive. */
+    @Test
+    fun `a process ends only after the requests that were arriving have their answers`() {
+        val idle = fixture.call("")
+        val caller = fixture.call("POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab")
+        assertTrue(fixture.hasNoEvent())
+        val ended = CountDownLatch(1)
+        fixture.traffic.drain()
+        fixture.traffic.whenCallersServed(5.seconds) { ended.countDown() }
+        assertEquals("", idle.readAll())
+        assertFalse(ended.await(200, TimeUnit.MILLISECONDS))
+        caller.write("cd")
+        refuse(fixture.nextEvent())
+        assertContains(caller.readMessage().lowercase(), "connection: close")
+        assertTrue(ended.await(2, TimeUnit.SECONDS))
+    }
+
+    @Test
+    fun `a caller that never completes its request delays the end only up to the limit`() {
+        fixture.call("POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab")
+        assertTrue(fixture.hasNoEvent())
+        val ended = CountDownLatch(1)
+        fixture.traffic.whenCallersServed(100.milliseconds) { ended.countDown() }
+        assertTrue(ended.await(2, TimeUnit.SECONDS))
+    }
+
     @Test
     fun `the connection of a caller without keep-alive is closed after the response`() {
         val caller = fixture.call(get("1", extraHeaders = "Connection: close\r\n"))
