Use the load that endpoints state in their answers, and mend limits of the own path

Endpoints of some deployments state their running and waiting requests and their slots with each answer. What they state beyond the work that gateways know of is decoded once, bounded, counted in placements for up to a second with falling weight, and ignored and counted when it is malformed.

Entry: a request is counted before the limit of open requests is checked, since two could take the last place; headers that are too large have the kind that the list of errors provides (431). A body may have up to 112 MiB, since agents assemble no more and a larger one never completed.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEffect.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEffect.kt
@@ -3,8 +3,8 @@
 /** Effects on requests that a gateway forwards. */
 sealed interface ForwardEffect : Effect {
     /**
-     * Starts an attempt; its end is reported by `AttemptEnded`. If another attempt of the request is
-     * open, the first of them that delivers a part of the answer stops the other.
+     * Starts an attempt; its end is reported by `AttemptEnded`. If another attempt of the request
+     * is open, the first of them that delivers a part of the answer stops the other.
      */
     data class Send(val request: RequestId, val attempt: AttemptId, val target: ForwardTarget) :
         ForwardEffect
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEvent.kt
@@ -15,6 +15,9 @@
     /** The first event of a stream was relayed to the caller. */
     data class StreamBegun(val request: RequestId, val attempt: AttemptId) : ForwardEvent
 
+    /** An endpoint stated its load in an answer; [load] is null if the statement is malformed. */
+    data class LoadStated(val endpoint: EndpointId, val load: EndpointLoadReport?) : ForwardEvent
+
     /**
      * An attempt has been silent for longer than its limit; it goes on unless it is abandoned. The
      * event is repeated while the attempt stays silent.
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
@@ -16,5 +16,9 @@
     REPORTS_REJECTED(
         "gypsumroute_reports_rejected_total",
         "Datagrams of other gateways that could not be used"
+    ),
+    LOADS_REJECTED(
+        "gypsumroute_loads_rejected_total",
+        "Loads stated by endpoints that could not be used"
     )
 }
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
@@ -79,7 +79,9 @@
         const val DEFAULT_CALLERS_PORT = 8080
         const val DEFAULT_OPERATORS_PORT = 8081
         const val DEFAULT_MAX_BODY_BYTES = 16L * 1024 * 1024
-        const val MAX_BODY_BYTES = 1024L * 1024 * 1024
+
+        /** Agents assemble up to 128 MiB, with the answer so far of a continued request. */
+        const val MAX_BODY_BYTES = 112L * 1024 * 1024
         const val DEFAULT_OPEN_REQUESTS = 4096
         const val MAX_OPEN_REQUESTS = 1_000_000
         const val DEFAULT_BUFFER_BYTES = 256L * 1024 * 1024
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
@@ -1,10 +1,10 @@
 /*
  * Dispatches the events of forwarded requests, from arrival to end.
  *
- * A request is sent to one endpoint at a time, except that a stalled stream stays open while another
- * endpoint resumes it. It is sent to another endpoint only if none can have run it, or if its route
- * allows its work to run again; a resumable stream then continues after the last event that was
- * passed on to the caller.
+ * A request is sent to one endpoint at a time, except that a stalled stream stays open while
+ * another endpoint resumes it. It is sent to another endpoint only if none can have run it, or if
+ * its route allows its work to run again; a resumable stream then continues after the last event
+ * that was passed on to the caller.
  */
 package org.gypsumroute.core.gateway
 
@@ -32,6 +32,8 @@
 
         is ForwardEvent.StreamBegun -> reduceStreamBegun(state, event)
 
+        is ForwardEvent.LoadStated -> reduceLoadStated(state, event)
+
         is ForwardEvent.AttemptStalled -> reduceAttemptStalled(state, event)
 
         is ForwardEvent.AttemptTookOver -> reduceAttemptTookOver(state, event)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
@@ -35,8 +35,8 @@
     }
 
 /**
- * Refuses new requests from now on. If no other gateway is ready, the load balancer has nowhere else
- * to send callers, so this gateway continues as long as the drain time allows.
+ * Refuses new requests from now on. If no other gateway is ready, the load balancer has nowhere
+ * else to send callers, so this gateway continues as long as the drain time allows.
  */
 internal fun refuseNewIfReplaced(state: GatewayState): Step<GatewayState> {
     val since = state.drainStartedAt ?: return state.step()
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -9,8 +9,10 @@
 import kotlinx.collections.immutable.PersistentMap
 import org.gypsumroute.api.AttemptId
 import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardTarget
+import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.HelperTarget
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Step
@@ -26,12 +28,11 @@
     val reachable = allowed.filter { it.health.suspendedUntil <= now }.ifEmpty { allowed }
     return ForwardPlacementInput(
         candidates = reachable.map { endpoint ->
-            val load = others.fold(endpoint.ownLoad()) { sum, other ->
-                other.loads[endpoint.record.id]?.let { sum + it } ?: sum
-            }
+            val load = knownLoad(endpoint, others)
+            val unseen = endpoint.unseenLoad.requestsAt(now)
             ForwardCandidate(
                 endpoint.record,
-                load,
+                load.copy(openRequests = load.openRequests + unseen),
                 endpoint.backlog.advancedTo(now).cappedAt(load.pendingPrefill),
                 endpoint.health.failureRate(now)
             )
@@ -46,6 +47,12 @@
     )
 }
 
+/** The load that this gateway and the reports of others put on an endpoint. */
+internal fun knownLoad(endpoint: EndpointState, others: List<GatewayReport>): EngineLoad =
+    others.fold(endpoint.ownLoad()) { sum, other ->
+        other.loads[endpoint.record.id]?.let { sum + it } ?: sum
+    }
+
 private fun mayReceive(
     state: GatewayState,
     record: ForwardRecord,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StallReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StallReducer.kt
@@ -2,9 +2,10 @@
  * Attempts that are silent for longer than their limit.
  *
  * Silence may mean that the endpoint is dead, or only that it is slow. Where the request may run
- * again and another endpoint can take it, it is sent there. An answer of which the caller has seen a
- * part stays open meanwhile, and goes on at the endpoint that delivers the next part first. In all
- * other cases the attempt goes on until its endpoint ends it or the time of the request is over.
+ * again and another endpoint can take it, it is sent there. An answer of which the caller has seen
+ * a part stays open meanwhile, and goes on at the endpoint that delivers the next part first. In
+ * all other cases the attempt goes on until its endpoint ends it or the time of the request is
+ * over.
  */
 package org.gypsumroute.core.gateway
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StallReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StallReducerTest.kt
@@ -31,8 +31,7 @@
 
     private fun GatewayHarness.attempt() = state.requests.getValue(request).attempt!!
 
-    private fun GatewayHarness.stall() =
-        feed(ForwardEvent.AttemptStalled(request, attempt().id))
+    private fun GatewayHarness.stall() = feed(ForwardEvent.AttemptStalled(request, attempt().id))
 
     private fun GatewayHarness.abandoned() =
         effects.filterIsInstance<ForwardEffect.Abandon>().map { it.attempt }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallersHttp.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallersHttp.kt
@@ -101,9 +101,22 @@
         serveUnlessRefused(call, handler)
     }
 
+    /** Counts the request before the limit is checked, so that no two take the last place. */
     private suspend fun serveUnlessRefused(
         call: ApplicationCall,
         handler: suspend (Exchange, CallerHeaders) -> Unit
+    ) {
+        openRequests.incrementAndGet()
+        try {
+            serveCounted(call, handler)
+        } finally {
+            openRequests.decrementAndGet()
+        }
+    }
+
+    private suspend fun serveCounted(
+        call: ApplicationCall,
+        handler: suspend (Exchange, CallerHeaders) -> Unit
     ) {
         val callerRequestId = call.request.header(REQUEST_ID_HEADER)
         val request =
@@ -117,9 +130,9 @@
                 )
 
             totalHeaderLength(call) > MAX_HEADER_CHARACTERS ->
-                Failure(ErrorKind.MALFORMED_REQUEST, "headers exceed $MAX_HEADER_CHARACTERS bytes")
+                Failure(ErrorKind.HEADERS_TOO_LARGE, "headers exceed $MAX_HEADER_CHARACTERS bytes")
 
-            openRequests.get() >= settings.maxOpenRequests ->
+            openRequests.get() > settings.maxOpenRequests ->
                 Failure(
                     ErrorKind.OVERLOADED,
                     "this entry holds ${settings.maxOpenRequests} requests"
@@ -134,12 +147,7 @@
             respondError(call, failure, request)
             return
         }
-        openRequests.incrementAndGet()
-        try {
-            serveExchange(call, exchange, handler)
-        } finally {
-            openRequests.decrementAndGet()
-        }
+        serveExchange(call, exchange, handler)
     }
 
     /**
--- a/gypsumroute-entry/src/test/kotlin/org/gypsumroute/entry/http/CallersLimitsTest.kt
+++ b/gypsumroute-entry/src/test/kotlin/org/gypsumroute/entry/http/CallersLimitsTest.kt
@@ -63,7 +63,8 @@
         val lines = (1..400).joinToString("") { "X-Header-$it: ${"x".repeat(100)}\r\n" }
         val answer =
             responseTo("$REQUEST_HEAD${lines}Content-Length: 0\r\nConnection: close\r\n\r\n")
-        assertContains(answer, " 400 ")
+        assertContains(answer, " 431 ")
+        assertContains(answer, "headers_too_large")
         assertContains(answer, "\"run_state\":\"not_run\"")
         assertContains(answer, "headers")
         assertServes()
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -82,6 +82,9 @@
         if (!target.streaming) restartTimeout()
     }
 
+    /** Called with the load that the endpoint states with its response. */
+    fun loadStated(load: StatedLoad) = traffic.loadStated(target.endpoint, load)
+
     /** Called with each part of a response that is not a stream of events. */
     fun bytesReceived(count: Int) {
         bytesSinceTimeout += count
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -123,7 +123,9 @@
         discarding = belongsToOtherRequest || successWithoutId
         reusable = HttpUtil.isKeepAlive(response)
         keepAliveTime = keepAliveTimeOf(response)
-        if (!discarding) current.responseStarted(response, head)
+        if (discarding) return
+        head.statedLoad?.let { current.loadStated(it) }
+        current.responseStarted(response, head)
     }
 
     private fun readContent(current: EndpointAttempt, content: HttpContent) {
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
@@ -18,6 +18,7 @@
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.Bytes
 import org.gypsumroute.api.CallerLimits
+import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.Failure
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
@@ -168,6 +169,9 @@
     fun streamStarted(attempt: EndpointAttempt) =
         emit(ForwardEvent.StreamBegun(attempt.exchange.request, attempt.id))
 
+    fun loadStated(endpoint: EndpointId, load: StatedLoad) =
+        emit(ForwardEvent.LoadStated(endpoint, load.report))
+
     fun attemptStalled(attempt: EndpointAttempt) =
         emit(ForwardEvent.AttemptStalled(attempt.exchange.request, attempt.id))
 
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseHead.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseHead.kt
@@ -9,12 +9,13 @@
  * names none. [signed] is true if the endpoint marks the response as a complete one, [notRun] if it
  * states that it did not run the request, and [misdirected] if the request was meant for another
  * endpoint. [faultyAddress] is the address of the endpoint that caused a failure, if that is not
- * the responding one.
+ * the responding one. [statedLoad] is null if the endpoint does not state its load.
  */
 data class ResponseHead(
     val callerRequestId: String?,
     val signed: Boolean,
     val notRun: Boolean,
     val misdirected: Boolean,
-    val faultyAddress: EndpointAddress?
+    val faultyAddress: EndpointAddress?,
+    val statedLoad: StatedLoad? = null
 )
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
@@ -58,8 +58,10 @@
 
     /** Whether more is buffered than any valid answer needs, so that the attempt has to end. */
     val isOversized: Boolean
-        get() = (eventSplitter?.bufferedBytes ?: bufferedBody.readableBytes()) > MAX_BUFFERED_BYTES &&
-            !relaying
+        get() {
+            val bufferedBytes = eventSplitter?.bufferedBytes ?: bufferedBody.readableBytes()
+            return bufferedBytes > MAX_BUFFERED_BYTES && !relaying
+        }
 
     /**
      * Applies backpressure: stops reading from the endpoint while too much is unsent to the caller.
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/EndlessBytesTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/EndlessBytesTest.kt
@@ -1,6 +1,6 @@
 /*
- * Peers that send bytes without end in the place of a message. Guards against memory that grows with
- * them, and against requests that wait for their end.
+ * Peers that send bytes without end in the place of a message. Guards against memory that grows
+ * with them, and against requests that wait for their end.
  */
 package org.gypsumroute.gateway
 
