Keep many gateways from choosing the same engine, and from using a cold one together

Change: the common order has groups of neighbours, as large as the number of requests that all gateways are expected to place between two reports; within a group each request has a random order. With three gateways a group is one engine, as before. A cold endpoint is used only by so many gateways, chosen by rendezvous hashing, that each may send once a second; a gateway that has just started uses none for 2 s. Calls to the store after a change are spaced by 10 ms a gateway, 400 ms at most.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
@@ -17,9 +17,9 @@
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.logEffect
-import org.gypsumroute.core.mixBits
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
+import org.gypsumroute.core.unitInterval
 
 internal fun reduceArrived(state: GatewayState, event: ForwardEvent.Arrived): Step<GatewayState> {
     val head = event.head
@@ -90,7 +90,7 @@
 /** Chooses one of the route's services at random, in proportion to their weights. */
 internal fun chooseService(route: Route, entropy: Long): ServiceId {
     val total = route.trafficSplit.sumOf { it.weight }
-    var remainder = total * Math.floorMod(mixBits(entropy), SPLIT_STEPS) / SPLIT_STEPS
+    var remainder = total * unitInterval(entropy)
     for (share in route.trafficSplit) {
         remainder -= share.weight
         if (remainder < 0) return share.service
@@ -98,9 +98,6 @@
     return route.trafficSplit.first().service
 }
 
-/** Number of equal steps by which a random number divides the traffic of a route. */
-private const val SPLIT_STEPS = 1L shl 20
-
 private fun refuse(
     state: GatewayState,
     event: ForwardEvent.Arrived,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
@@ -8,6 +8,10 @@
  * Short prompts fill engines one after the other in an order that all gateways compute alike; long
  * prompts start from the other end of that order. This leaves engines without short streams for
  * long prompts, and the gateways agree on them without exchanging messages.
+ *
+ * With many gateways, reports come too late to keep several of them from choosing the same engine.
+ * The order then has groups of neighbours, as many as requests are placed between two reports, and
+ * each request prefers the engines of a group in a random order of its own.
  */
 package org.gypsumroute.core.gateway
 
@@ -18,6 +22,7 @@
 import org.gypsumroute.api.EngineProfile
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.core.stableHash
+import org.gypsumroute.core.unitInterval
 
 /** The choice with the smallest predicted loss, or null without candidates. */
 internal fun placeAtEngines(
@@ -45,11 +50,11 @@
      */
     private val isShort =
         prefillMs + model.passTime(1, size.context).toMilliseconds() <= gapMs * SHORT_PROMPT_SHARE
+    private val groupSize =
+        input.unreportedRequests.coerceAtMost(input.candidates.size).coerceAtLeast(1)
     private val engines = input.candidates
         .sortedBy { stableHash(it.record.id.value) }
-        .mapIndexed { index, candidate ->
-            Engine(candidate, index.toDouble() / input.candidates.size)
-        }
+        .mapIndexed { index, candidate -> Engine(candidate, rankOf(index, candidate)) }
 
     fun best(): ForwardChoice? {
         val single = engines.minByOrNull { predictedLoss(listOf(it)) } ?: return null
@@ -69,6 +74,13 @@
         return choiceOf(chosen, emptyMap())
     }
 
+    /** Position in the shared order, from 0 to 1; random within a group of neighbours. */
+    private fun rankOf(index: Int, candidate: ForwardCandidate): Double {
+        val begin = index / groupSize * groupSize
+        val draw = unitInterval(stableHash(candidate.record.id.value) xor input.entropy)
+        return (begin + draw * groupSize) / input.candidates.size
+    }
+
     /**
      * The [count] engines that lose least if each reads an equal part of the prompt; the first runs
      * the request.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -208,7 +208,7 @@
 }
 
 /** Minimum interval between reports; it bounds the rate at which each gateway receives them. */
-private fun minReportInterval(members: Int): Duration = MIN_REPORT_INTERVAL_PER_MEMBER * members
+internal fun minReportInterval(members: Int): Duration = MIN_REPORT_INTERVAL_PER_MEMBER * members
 
 private val REPORT_INTERVAL: Duration = 500.milliseconds
 private val MIN_REPORT_INTERVAL_PER_MEMBER: Duration = 10.milliseconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayPolicies.kt
@@ -20,7 +20,9 @@
 /**
  * What a placement function decides on. [profile] is null for plain services. [objective] is the
  * time left until a first byte is late, [remaining] the time left until the request fails, and
- * [gapObjective] the longest pause that its stream tolerates. [entropy] is random and breaks ties.
+ * [gapObjective] the longest pause that its stream tolerates. [unreportedRequests] is the number of
+ * requests that all gateways are expected to place before they hear of each other's choices.
+ * [entropy] is random and breaks ties.
  */
 data class ForwardPlacementInput(
     val candidates: List<ForwardCandidate>,
@@ -30,6 +32,7 @@
     val remaining: Duration,
     val gapObjective: Duration,
     val ownDataCentre: DataCentreId,
+    val unreportedRequests: Int,
     val entropy: Long
 )
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -37,7 +37,7 @@
 
         is PublishedEvent.ChangesRead -> noteStoreAnswer(state)
             .then { applyChanges(it, event.revision, event.changes) }
-            .then { readNextChanges(it) }
+            .then { if (event.changes.isEmpty()) readNextChanges(it) else readLater(it) }
 
         is PublishedEvent.HistoryLost ->
             state.step(logEffect(LogEvent.HISTORY_LOST), PublishedEffect.ReadSnapshot)
@@ -93,6 +93,15 @@
     }
 )
 
+/**
+ * Requests the next changes after a wait, so that changes in quick succession arrive together. The
+ * wait grows with the number of gateways, which all make the same calls to the store.
+ */
+private fun readLater(state: GatewayState): Step<GatewayState> {
+    val wait = (READ_SPACING_PER_GATEWAY * state.gatewayCount).coerceAtMost(MAX_READ_SPACING)
+    return state.step(RuntimeEffect.SetTimer(TimerId.PublishedRead, wait))
+}
+
 private fun reduceSnapshot(
     state: GatewayState,
     event: PublishedEvent.SnapshotRead
@@ -311,6 +320,11 @@
  */
 private val WATCH_WAIT: Duration = 1500.milliseconds
 
+private val READ_SPACING_PER_GATEWAY: Duration = 10.milliseconds
+
+/** A small part of the time within which a change has to be in force. */
+private val MAX_READ_SPACING: Duration = 400.milliseconds
+
 /** A longer time between answers of the store counts as an outage. */
 private val MAX_SILENCE_WITHOUT_OUTAGE: Duration = 3.seconds
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryBudget.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryBudget.kt
@@ -33,6 +33,11 @@
         return retries + 1 <= ratio * requests + allowance
     }
 
+    /** Requests that arrived in each of the last [RATE_SECONDS] seconds, on average. */
+    fun requestRate(now: Moment): Double =
+        seconds.filter { now - it.startedAt <= RATE_SECONDS.seconds }.sumOf { it.requests } /
+            RATE_SECONDS.toDouble()
+
     private fun add(now: Moment, requests: Int, retries: Int): RetryBudget {
         val last = seconds.lastOrNull()
         if (last != null && now - last.startedAt < 1.seconds) {
@@ -48,5 +53,6 @@
 
     private companion object {
         const val MAX_WINDOW_SECONDS = 64
+        const val RATE_SECONDS = 2
     }
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -3,6 +3,7 @@
  */
 package org.gypsumroute.core.gateway
 
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -15,6 +16,7 @@
 import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.HelperTarget
 import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.logEffect
@@ -43,10 +45,21 @@
         remaining = record.deadline - now,
         gapObjective = record.gapObjective,
         ownDataCentre = state.common.node.dataCentre,
+        unreportedRequests = unreportedRequests(state, record.service),
         entropy = state.common.entropy
     )
 }
 
+/**
+ * Requests for a service that all gateways are expected to place within the interval of reports,
+ * if each of them receives as many as this one.
+ */
+private fun unreportedRequests(state: GatewayState, service: ServiceId): Int {
+    val gateways = state.gatewayCount
+    val rate = state.retryBudgets[service]?.requestRate(state.common.now) ?: 0.0
+    return (rate * gateways * minReportInterval(gateways).toSeconds()).roundToInt()
+}
+
 /** The load that this gateway and the reports of others put on an endpoint. */
 internal fun knownLoad(endpoint: EndpointState, others: List<GatewayReport>): EngineLoad =
     others.fold(endpoint.ownLoad()) { sum, other ->
@@ -80,13 +93,14 @@
     state.endpoints[id]?.let { acceptsNewRequests(state, record, it) } == true
 }
 
-/** Limits sends to a cold endpoint to this gateway's equal share of the rate for all gateways. */
 private fun coldLimitAllows(state: GatewayState, endpoint: EndpointState): Boolean {
     val now = state.common.now
     if (now >= endpoint.coldUntil) return true
     val rule = state.published.table?.services?.get(endpoint.record.service)
     val rate = rule?.coldRequestsPerSecond ?: 0.0
-    return rate == 0.0 || endpoint.recentSends.allows(now, rate / state.gatewayCount)
+    if (rate == 0.0) return true
+    val share = coldShare(state, endpoint.record.id, rate)
+    return share > 0 && endpoint.recentSends.allows(now, share)
 }
 
 /** Sends the request to the chosen endpoint; the attempt's end arrives as an event. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ArrivalReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ArrivalReducerTest.kt
@@ -94,6 +94,7 @@
     fun `a cold endpoint gets at most this gateway's share of its request rate`() {
         val harness =
             readyHarness(endpointOf("e1", service = modelService, coldRemaining = 30.seconds))
+        harness.advance(2.seconds)
         val sent = (1..40).count {
             harness.arrive("$it", headOf("/stream/x", prompt = 100))
             harness.sends.isNotEmpty()
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/EnginePlacementTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/EnginePlacementTest.kt
@@ -39,7 +39,9 @@
         candidates: List<ForwardCandidate>,
         prompt: Long,
         objective: Duration = 300.milliseconds,
-        gap: Duration = 200.milliseconds
+        gap: Duration = 200.milliseconds,
+        unreported: Int = 0,
+        entropy: Long = 0
     ): ForwardChoice? = ForwardPlacements.leastPredictedLoss(
         ForwardPlacementInput(
             candidates = candidates,
@@ -49,7 +51,8 @@
             remaining = 10.seconds,
             gapObjective = gap,
             ownDataCentre = homeDataCentre,
-            entropy = 0
+            unreportedRequests = unreported,
+            entropy = entropy
         )
     )
 
@@ -128,6 +131,24 @@
         assertTrue(engines.values.min() == 0, "$engines")
     }
 
+    /**
+     * The pattern of a burst at many gateways: each places a short prompt before it hears of the
+     * others' choices, and all of them would fill the same engine.
+     */
+    @Test
+    fun `requests that are placed without reports of each other spread over as many engines`() {
+        val engines = (1..60).map { engine("e$it") }
+        val chosen = (1L..30L).map {
+            place(engines, 5000, unreported = 30, entropy = it)!!.endpoint
+        }
+        assertTrue(chosen.toSet().size >= 15, "${chosen.toSet().size}")
+        assertTrue(chosen.groupingBy { it }.eachCount().values.max() <= 4, "$chosen")
+        val longChosen = (1L..30L)
+            .map { place(engines, 100_000, gap = 800.milliseconds, unreported = 30, entropy = it) }
+            .map { it!!.endpoint }
+        assertTrue(chosen.intersect(longChosen.toSet()).isEmpty())
+    }
+
     @Test
     fun `an endpoint that fails often is avoided`() {
         val choice = place(listOf(engine("a", failureRate = 0.5), engine("b", busy(7))), 5000)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
@@ -40,11 +40,32 @@
         val watch = harness.effects.filterIsInstance<PublishedEffect.WatchChanges>().single()
         assertEquals(harness.state.published.revision, watch.revision)
         harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e2")))
+        assertEquals(setOf("e1", "e2"), harness.knownEndpoints())
+        harness.advance(10.milliseconds)
         val next = harness.effects.filterIsInstance<PublishedEffect.WatchChanges>().single()
         assertEquals(Revision(watch.revision.value + 1), next.revision)
-        assertEquals(setOf("e1", "e2"), harness.knownEndpoints())
     }
 
+    /**
+     * The pattern of many changes at many gateways, such as a release: each change would otherwise
+     * wake all gateways at once. A change must still be in force within seconds.
+     */
+    @Test
+    fun `with many gateways, changes in quick succession are read together`() {
+        val harness = readyHarness(endpointOf("e1"))
+        (2..200).forEach { harness.feed(reportFrom("10.0.${it / 100}.${it % 100}")) }
+        harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e2")))
+        assertEquals(emptyList(), harness.watches())
+        harness.advance(390.milliseconds)
+        assertEquals(emptyList(), harness.watches())
+        harness.advance(10.milliseconds)
+        assertEquals(1, harness.watches().size)
+        harness.feedChanges()
+        assertEquals(1, harness.watches().size)
+    }
+
+    private fun GatewayHarness.watches() = effects.filterIsInstance<PublishedEffect.WatchChanges>()
+
     @Test
     fun `a lower table version never replaces a higher one`() {
         val harness = readyHarness(endpointOf("e1"))
