--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
@@ -5,10 +5,10 @@
 import org.gypsumroute.api.NodeRole
 import org.gypsumroute.clients.EngineClient
 import org.gypsumroute.clients.PlainServiceClient
-import org.gypsumroute.core.ActionSecret
 import org.gypsumroute.core.AgentState
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.NodeIdentity
+import org.gypsumroute.core.actions.ActionSecret
 import org.gypsumroute.process.NodeProcess
 import org.gypsumroute.process.StopSignals
 import org.gypsumroute.process.TrafficHandlers
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/AgentCommand.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/AgentCommand.kt
@@ -17,11 +17,11 @@
 import org.gypsumroute.agent.BackEnd
 import org.gypsumroute.agent.runAgent
 import org.gypsumroute.api.PoolId
+import org.gypsumroute.core.admission.shortestClassFirst
+import org.gypsumroute.core.admission.strictArrivalOrder
 import org.gypsumroute.core.defaultPolicies
-import org.gypsumroute.core.growAtWarmSpeed
-import org.gypsumroute.core.noRamp
-import org.gypsumroute.core.shortestClassFirst
-import org.gypsumroute.core.strictArrivalOrder
+import org.gypsumroute.core.engine.growAtWarmSpeed
+import org.gypsumroute.core.engine.noRamp
 
 /**
  * `gypsumroute agent`: runs the agent of one model engine or plain service. [environment] reads
--- a/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
+++ b/gypsumroute-cli/src/main/kotlin/org/gypsumroute/cli/EntryCommand.kt
@@ -13,8 +13,8 @@
 import com.github.ajalt.clikt.parameters.types.restrictTo
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.Bytes
-import org.gypsumroute.core.PlacementPolicies
 import org.gypsumroute.core.defaultPolicies
+import org.gypsumroute.core.requests.PlacementPolicies
 import org.gypsumroute.entry.EntrySettings
 import org.gypsumroute.entry.runEntry
 
--- a/gypsumroute-cli/src/test/kotlin/org/gypsumroute/cli/SettingsTest.kt
+++ b/gypsumroute-cli/src/test/kotlin/org/gypsumroute/cli/SettingsTest.kt
@@ -17,9 +17,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.gypsumroute.agent.AgentSettings
 import org.gypsumroute.agent.BackEnd
-import org.gypsumroute.core.PlacementPolicies
 import org.gypsumroute.core.defaultPolicies
-import org.gypsumroute.core.noRamp
+import org.gypsumroute.core.engine.noRamp
+import org.gypsumroute.core.requests.PlacementPolicies
 import org.gypsumroute.entry.EntrySettings
 import org.junit.jupiter.api.Test
 
--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/DocumentYamlCodec.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/DocumentYamlCodec.kt
@@ -23,7 +23,7 @@
 import org.gypsumroute.api.DocumentFault
 import org.gypsumroute.api.EncodedDocument
 import org.gypsumroute.api.ServiceDocument
-import org.gypsumroute.core.documentRuleFaults
+import org.gypsumroute.core.documents.documentRuleFaults
 
 /** Decodes service documents; no input makes it throw. */
 object DocumentYamlCodec {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AgentReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AgentReducer.kt
@@ -14,6 +14,34 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.actions.answerActionKeyRequest
+import org.gypsumroute.core.admission.grantQueuedWork
+import org.gypsumroute.core.admission.refuseUnservable
+import org.gypsumroute.core.admission.requestGrant
+import org.gypsumroute.core.drain.finishDrain
+import org.gypsumroute.core.engine.reduceCallEnded
+import org.gypsumroute.core.engine.reduceCallFailed
+import org.gypsumroute.core.engine.reduceCancelConfirmed
+import org.gypsumroute.core.engine.reduceFirstToken
+import org.gypsumroute.core.engine.reduceHandleReleased
+import org.gypsumroute.core.engine.reduceOrderAnswered
+import org.gypsumroute.core.engine.reduceOrderTimer
+import org.gypsumroute.core.engine.reduceSegmentExported
+import org.gypsumroute.core.engine.reduceStreamEnded
+import org.gypsumroute.core.engine.reduceStreamFailed
+import org.gypsumroute.core.leases.checkEngine
+import org.gypsumroute.core.leases.dispatch
+import org.gypsumroute.core.leases.endLeasesOfEarlierIncarnation
+import org.gypsumroute.core.leases.expireLeases
+import org.gypsumroute.core.leases.reduceStateRead
+import org.gypsumroute.core.leases.reduceUnreachable
+import org.gypsumroute.core.leases.releaseLease
+import org.gypsumroute.core.leases.renewLeases
+import org.gypsumroute.core.peers.endpointSummary
+import org.gypsumroute.core.peers.sendTo
+import org.gypsumroute.core.requests.dispatch
+import org.gypsumroute.core.requests.releaseLease
+import org.gypsumroute.core.requests.startWork
 
 internal fun reduceAgent(state: AgentState, event: Event): Step<AgentState> =
     reduceCommon(state.common, event)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AgentState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AgentState.kt
@@ -7,6 +7,14 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.gypsumroute.api.LeaseId
 import org.gypsumroute.api.OrganisationId
+import org.gypsumroute.core.actions.ActionSecret
+import org.gypsumroute.core.actions.ActionsState
+import org.gypsumroute.core.engine.EngineView
+import org.gypsumroute.core.engine.OrdersState
+import org.gypsumroute.core.engine.Warmth
+import org.gypsumroute.core.leases.Lease
+import org.gypsumroute.core.leases.LeaseDeadlines
+import org.gypsumroute.core.leases.Ledger
 
 /**
  * State of an agent.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ClockReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ClockReducer.kt
@@ -8,6 +8,7 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent.ClockRead
 import org.gypsumroute.api.Step
+import org.gypsumroute.core.peers.resetSilenceTracking
 
 /**
  * Stores a clock reading and detects pauses of this process.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/CommonReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/CommonReducer.kt
@@ -14,6 +14,20 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.documents.reduceConfigurationReadEnded
+import org.gypsumroute.core.documents.reduceDocumentRead
+import org.gypsumroute.core.documents.reduceDocumentReadTimer
+import org.gypsumroute.core.documents.reduceDocumentRequest
+import org.gypsumroute.core.documents.reduceDocumentsHash
+import org.gypsumroute.core.documents.requestNewerDocuments
+import org.gypsumroute.core.drain.DrainPhase
+import org.gypsumroute.core.peers.dropSilentPeers
+import org.gypsumroute.core.peers.recordPeerActivity
+import org.gypsumroute.core.peers.reduceHostsRead
+import org.gypsumroute.core.peers.reduceHostsUnavailable
+import org.gypsumroute.core.peers.reducePeerConnectTimer
+import org.gypsumroute.core.peers.reducePeerConnected
+import org.gypsumroute.core.peers.reducePeerDisconnected
 
 /** Applies an event to the shared state; the reducers of entries and agents call it first. */
 internal fun reduceCommon(common: CommonState, event: Event): Step<CommonState> = when (event) {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/CommonState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/CommonState.kt
@@ -6,6 +6,9 @@
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.HostRecord
 import org.gypsumroute.api.Moment
+import org.gypsumroute.core.documents.DocumentsState
+import org.gypsumroute.core.drain.DrainPhase
+import org.gypsumroute.core.peers.PeerLink
 
 /**
  * State that processes of all roles have: the clock, the documents, the host list, the peers and
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryReducer.kt
@@ -15,6 +15,24 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.actions.reduceActionKeyIssued
+import org.gypsumroute.core.admission.reduceCaller
+import org.gypsumroute.core.drain.DrainPhase
+import org.gypsumroute.core.groups.reduceSegmentReady
+import org.gypsumroute.core.leases.reduceGrantIssued
+import org.gypsumroute.core.leases.reduceGrantRefused
+import org.gypsumroute.core.leases.reduceWorkFailed
+import org.gypsumroute.core.leases.releaseIneligibleLeases
+import org.gypsumroute.core.peers.reconcilePeers
+import org.gypsumroute.core.peers.reducePeerTick
+import org.gypsumroute.core.peers.sendTo
+import org.gypsumroute.core.requests.expireRequests
+import org.gypsumroute.core.requests.failLateReaders
+import org.gypsumroute.core.requests.reduceAnswer
+import org.gypsumroute.core.requests.reduceAttemptTimer
+import org.gypsumroute.core.requests.reduceEndpointConnected
+import org.gypsumroute.core.requests.reduceEndpointDisconnected
+import org.gypsumroute.core.requests.reduceSilenceTimer
 
 internal fun reduceEntry(state: EntryState, event: Event): Step<EntryState> =
     state.updateCommon { reduceCommon(it, event) }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryState.kt
@@ -11,6 +11,10 @@
 import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ServiceId
+import org.gypsumroute.core.leases.BufferLedger
+import org.gypsumroute.core.leases.LeaseRecord
+import org.gypsumroute.core.requests.DeadlineQueue
+import org.gypsumroute.core.requests.RequestRecord
 
 /**
  * State of an entry.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Policies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Policies.kt
@@ -14,6 +14,10 @@
 import org.gypsumroute.api.RampRule
 import org.gypsumroute.api.RetryRule
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.admission.fits
+import org.gypsumroute.core.peers.lengthClass
+import org.gypsumroute.core.requests.candidates
+import org.gypsumroute.core.requests.retry
 
 /** Ranks the candidates for a request, best first; candidates that are left out are not asked. */
 typealias PlacementPolicy = (PlacementContext) -> List<PlacementCandidate>
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ActionKeyIssuer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/actions/ActionKeyIssuer.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.actions
 
 import org.gypsumroute.api.ActionKey
 import org.gypsumroute.api.HostId
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ActionKeyVerification.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/actions/ActionKeyVerification.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.actions
 
 /** The result of checking an action key at an agent. */
 internal sealed interface ActionKeyVerification {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ActionKeys.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/actions/ActionKeys.kt
@@ -3,7 +3,7 @@
  * signature, joined by tildes. The signature is a truncated HMAC-SHA256 in hexadecimal over
  * incarnation, sequence number, service and organisation.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.actions
 
 import java.security.MessageDigest
 import javax.crypto.Mac
@@ -12,6 +12,7 @@
 import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.WorkOrder
+import org.gypsumroute.core.AgentState
 
 internal fun signActionKey(
     state: AgentState,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ActionPhase.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/actions/ActionPhase.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.actions
 
 /** Progress of an action, which runs at most once. */
 enum class ActionPhase {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ActionSecret.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/actions/ActionSecret.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.actions
 
 /** Secret with which one agent process signs the action keys it issues; never logged or sent. */
 @JvmInline
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AgentActionsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/actions/AgentActionsReducer.kt
@@ -4,7 +4,7 @@
  * A key names this agent's incarnation and a sequence number. Its action runs only if no record of
  * it exists and none can have been evicted; repeated requests get the recorded answer or a refusal.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.actions
 
 import org.gypsumroute.api.EngineEffect
 import org.gypsumroute.api.ErrorKind
@@ -17,6 +17,17 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.WorkKind
 import org.gypsumroute.api.WorkOrder
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.admission.admit
+import org.gypsumroute.core.admission.isDraining
+import org.gypsumroute.core.admission.issueGrant
+import org.gypsumroute.core.admission.newLease
+import org.gypsumroute.core.admission.refuse
+import org.gypsumroute.core.leases.Lease
+import org.gypsumroute.core.leases.Reservation
+import org.gypsumroute.core.peers.sendTo
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
 
 /**
  * Issues an action key. A draining agent sends no answer, because a key that is unused when the
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryActionsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/actions/EntryActionsReducer.kt
@@ -2,7 +2,7 @@
  * The entry side of actions, which run at most once. An action key binds an action to the agent
  * process that issued the key; only that process knows whether the action has run.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.actions
 
 import org.gypsumroute.api.CallerEffect
 import org.gypsumroute.api.ErrorKind
@@ -16,6 +16,23 @@
 import org.gypsumroute.api.ServiceDocument
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.peers.PeerLink
+import org.gypsumroute.core.peers.sendTo
+import org.gypsumroute.core.peers.withLink
+import org.gypsumroute.core.requests.RequestPhase
+import org.gypsumroute.core.requests.RequestRecord
+import org.gypsumroute.core.requests.backoff
+import org.gypsumroute.core.requests.entropyFor
+import org.gypsumroute.core.requests.fail
+import org.gypsumroute.core.requests.failWith
+import org.gypsumroute.core.requests.requestLease
+import org.gypsumroute.core.requests.retry
+import org.gypsumroute.core.requests.scheduleNextAttempt
+import org.gypsumroute.core.requests.setAttemptTimer
+import org.gypsumroute.core.requests.withRequest
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
 
 /** Requests a lease from the agent process that issued the action key, and from no other. */
 internal fun placeAction(state: EntryState, record: RequestRecord): Step<EntryState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AdmissionChecks.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/AdmissionChecks.kt
@@ -1,7 +1,7 @@
 /*
  * Checks a request whose body has arrived against its service document and the entry's limits.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import arrow.core.Either
 import arrow.core.raise.Raise
@@ -23,6 +23,14 @@
 import org.gypsumroute.api.ServiceKind
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.ServiceOrganisation
+import org.gypsumroute.core.actions.actionKeyIssuer
+import org.gypsumroute.core.documents.findOrganisationRule
+import org.gypsumroute.core.peers.lengthClass
+import org.gypsumroute.core.requests.RequestSpec
+import org.gypsumroute.core.requests.retry
 
 internal fun checkGeneration(
     state: EntryState,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AdmissionReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/AdmissionReducer.kt
@@ -2,7 +2,7 @@
  * Handles callers' requests from the arrival of their headers to their admission or refusal, and
  * the events by which a caller ends a request: it disconnects or has taken the whole answer.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import arrow.core.Either
 import org.gypsumroute.api.Bytes
@@ -19,6 +19,22 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.MAX_RETRY_BUDGET
+import org.gypsumroute.core.actions.placeAction
+import org.gypsumroute.core.documents.bufferBudget
+import org.gypsumroute.core.documents.findOrganisation
+import org.gypsumroute.core.drain.DrainPhase
+import org.gypsumroute.core.leases.HeldBytes
+import org.gypsumroute.core.requests.RequestPhase
+import org.gypsumroute.core.requests.RequestRecord
+import org.gypsumroute.core.requests.endRequest
+import org.gypsumroute.core.requests.fail
+import org.gypsumroute.core.requests.place
+import org.gypsumroute.core.requests.refusedLog
+import org.gypsumroute.core.requests.retry
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
 
 internal fun reduceCaller(state: EntryState, event: CallerEvent): Step<EntryState> = when (event) {
     is CallerEvent.Opened -> reduceOpened(state, event)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Capacity.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/Capacity.kt
@@ -1,7 +1,7 @@
 /*
  * Admission limits of an endpoint: memory, slots and prefill, by length class and warmth.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import kotlin.math.floor
 import kotlin.time.Duration
@@ -10,6 +10,9 @@
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
 import org.gypsumroute.api.WorkOrder
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.RampContext
+import org.gypsumroute.core.peers.lengthClass
 
 internal fun demandOf(document: ServiceDocument, order: WorkOrder): Demand {
     val plain = document.kind == ServiceKind.PLAIN
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Demand.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/Demand.kt
@@ -1,6 +1,7 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.peers.lengthClass
 
 /** Capacity that one lease needs; its properties are those of [Reservation]. */
 internal data class Demand(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GrantsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/GrantsReducer.kt
@@ -3,7 +3,7 @@
  *
  * Refusals here correctly report `not_run`, because nothing has been handed to the engine yet.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import kotlin.time.Duration
 import org.gypsumroute.api.ErrorKind
@@ -20,6 +20,27 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.WorkKind
 import org.gypsumroute.api.WorkOrder
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.QueueContext
+import org.gypsumroute.core.QueuedWork
+import org.gypsumroute.core.actions.ActionClaim
+import org.gypsumroute.core.actions.claimAction
+import org.gypsumroute.core.actions.grantReplay
+import org.gypsumroute.core.actions.requestAction
+import org.gypsumroute.core.actions.withClaim
+import org.gypsumroute.core.leases.Lease
+import org.gypsumroute.core.leases.LeasePhase
+import org.gypsumroute.core.leases.Reservation
+import org.gypsumroute.core.leases.endLease
+import org.gypsumroute.core.leases.leaseOf
+import org.gypsumroute.core.leases.putLease
+import org.gypsumroute.core.leases.sendToEntry
+import org.gypsumroute.core.map
+import org.gypsumroute.core.peers.endpointSummary
+import org.gypsumroute.core.peers.expectedWait
+import org.gypsumroute.core.peers.lengthClass
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
 
 internal fun requestGrant(state: AgentState, peer: HostId, order: WorkOrder): Step<AgentState> {
     val known = state.leases[order.lease]
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PrefillEstimates.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/PrefillEstimates.kt
@@ -1,9 +1,10 @@
 /*
  * Estimates of the time that a warm engine takes to prefill a prompt.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.core.PrefillEstimate
 
 /** Prefill time in proportion to the number of tokens, at the document's warm prefill speed. */
 val estimateAtWarmSpeed: PrefillEstimate = { tokens, rule ->
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/QueueOrders.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/QueueOrders.kt
@@ -1,9 +1,13 @@
 /*
  * The order in which an endpoint's queued work is granted.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.QueueContext
+import org.gypsumroute.core.QueueOrder
+import org.gypsumroute.core.QueuedWork
+import org.gypsumroute.core.peers.lengthClass
 
 /**
  * Grants the shortest length class first, and within a class the organisation with the least
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Refusals.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/Refusals.kt
@@ -2,7 +2,7 @@
  * Refusals by an agent that do not depend on its load, such as an unknown service, an endpoint that
  * is draining, or an engine without the right model.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -14,6 +14,12 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.WorkKind
 import org.gypsumroute.api.WorkOrder
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.drain.DrainPhase
+import org.gypsumroute.core.peers.holdsModel
+import org.gypsumroute.core.peers.isLeaving
+import org.gypsumroute.core.step
+import org.gypsumroute.core.thenEach
 
 /** Refuses the queued work that this endpoint can no longer serve. */
 internal fun refuseUnservable(state: AgentState): Step<AgentState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentRuleFault.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/documents/DocumentRuleFault.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.documents
 
 /**
  * A rule that a document breaks. [field] is the path of the field as in the YAML form, for example
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentValidation.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/documents/DocumentValidation.kt
@@ -4,7 +4,7 @@
  * The rules depend on nothing but the document, so that every process accepts exactly the same
  * documents. All broken rules are reported, not only the first.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.documents
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
@@ -19,6 +19,10 @@
 import org.gypsumroute.api.RetryRule
 import org.gypsumroute.api.ServiceDocument
 import org.gypsumroute.api.ServiceKind
+import org.gypsumroute.core.admission.initialShare
+import org.gypsumroute.core.map
+import org.gypsumroute.core.peers.lengthClass
+import org.gypsumroute.core.requests.retry
 
 /** All rules that [document] breaks; empty if it is valid. */
 fun documentRuleFaults(document: ServiceDocument): List<DocumentRuleFault> = RuleCheck().apply {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/documents/DocumentsReducer.kt
@@ -5,7 +5,7 @@
  * processes that received the same documents in any order hold the same ones. A few watchers per
  * data centre watch the configuration service; all other processes get documents from their peers.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.documents
 
 import arrow.core.Either
 import kotlin.time.Duration
@@ -25,6 +25,14 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.peers.sendTo
+import org.gypsumroute.core.peers.sendToAll
+import org.gypsumroute.core.rendezvousWeight
+import org.gypsumroute.core.stableHash
+import org.gypsumroute.core.step
+import org.gypsumroute.core.unitInterval
 
 internal fun reduceDocumentRead(
     common: CommonState,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DocumentsState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/documents/DocumentsState.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.documents
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/KnownOrganisations.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/documents/KnownOrganisations.kt
@@ -1,13 +1,14 @@
 /*
  * Finds the organisations listed in service documents by the digest of the key that a caller sent.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.documents
 
 import java.security.MessageDigest
 import org.gypsumroute.api.Bytes
 import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.OrganisationRule
 import org.gypsumroute.api.ServiceDocument
+import org.gypsumroute.core.CommonState
 
 /** Finds the organisation of a key in the documents in force, whatever the service. */
 internal fun findOrganisation(common: CommonState, keyDigest: String): OrganisationId? =
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AgentDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/drain/AgentDrain.kt
@@ -1,8 +1,12 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.drain
 
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.engine.EngineHold
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.step
 
 /**
  * Ends a draining process once no work runs and no stored answer waits for its entry. Cancels that
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DrainPhase.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/drain/DrainPhase.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.drain
 
 /** Progress of a drain, the planned stop of a process. */
 enum class DrainPhase {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EngineHold.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/engine/EngineHold.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.engine
 
 /** What the engine or the plain service holds of the work of a reservation. */
 enum class EngineHold {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EngineOrders.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/engine/EngineOrders.kt
@@ -5,7 +5,7 @@
  * state again right before it sends an order. With engines that ignore fencing numbers, an order of
  * an earlier agent process that was paused can still arrive between that read and the order.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.engine
 
 import kotlin.time.Duration
 import org.gypsumroute.api.EngineEffect
@@ -18,6 +18,14 @@
 import org.gypsumroute.api.ServiceKind
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.admission.isDraining
+import org.gypsumroute.core.leases.requestEngineState
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.peers.poolDocuments
+import org.gypsumroute.core.rendezvousWeight
+import org.gypsumroute.core.step
 
 /** The model that this endpoint should hold, or null if its pool has no generation service. */
 internal fun assignedModel(common: CommonState): EngineModel? {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EngineWork.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/engine/EngineWork.kt
@@ -4,7 +4,7 @@
  * A reservation is freed here only after a report that the engine holds nothing of its work any
  * more.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.engine
 
 import kotlin.time.Duration
 import org.gypsumroute.api.EngineEffect
@@ -19,6 +19,22 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.actions.ActionPhase
+import org.gypsumroute.core.actions.ActionRecord
+import org.gypsumroute.core.actions.abandonAction
+import org.gypsumroute.core.actions.finishAction
+import org.gypsumroute.core.leases.Lease
+import org.gypsumroute.core.leases.LeasePhase
+import org.gypsumroute.core.leases.Reservation
+import org.gypsumroute.core.leases.putLease
+import org.gypsumroute.core.leases.requestEngineState
+import org.gypsumroute.core.leases.sendToEntry
+import org.gypsumroute.core.leases.sendWorkFailed
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.requests.revoke
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
 
 /** Cancels a stream, prefill or repeatable call; its reservation waits for the confirmation. */
 internal fun cancelWork(state: AgentState, id: LeaseId): Step<AgentState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/OrdersState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/engine/OrdersState.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.engine
 
 import org.gypsumroute.api.FencingNumber
 import org.gypsumroute.api.Moment
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RampPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/engine/RampPolicies.kt
@@ -1,7 +1,11 @@
 /*
  * Ramp policies: how the share of capacity that a cold endpoint offers grows.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.engine
+
+import org.gypsumroute.core.RampContext
+import org.gypsumroute.core.RampPolicy
+import org.gypsumroute.core.admission.initialShare
 
 /**
  * Multiplies the share by the document's growth factor after enough completions at warm speed, and
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Warmth.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/engine/Warmth.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.engine
 
 import kotlin.time.Duration
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/WarmthReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/engine/WarmthReducer.kt
@@ -1,7 +1,7 @@
 /*
  * Warm-up of the endpoint: the share of capacity on offer grows with work done at warm speed.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.engine
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
@@ -9,6 +9,19 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.RampContext
+import org.gypsumroute.core.admission.Demand
+import org.gypsumroute.core.admission.fits
+import org.gypsumroute.core.admission.initialShare
+import org.gypsumroute.core.admission.offeredShare
+import org.gypsumroute.core.leases.Reservation
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.peers.lengthClass
+import org.gypsumroute.core.requests.revoke
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 /** Evaluates the duration of one prefill or call, and grows or resets the share on offer. */
 internal fun updateWarmth(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
@@ -14,8 +14,8 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
-import org.gypsumroute.core.DrainPhase
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.drain.DrainPhase
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.reduceDrainRequested
 import org.gypsumroute.core.step
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -17,8 +17,8 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.CommonState
-import org.gypsumroute.core.DrainPhase
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.drain.DrainPhase
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.map
 import org.gypsumroute.core.reduceClock
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GroupPlan.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/groups/GroupPlan.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.groups
 
 import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.GroupSegment
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GroupPlanning.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/groups/GroupPlanning.kt
@@ -1,12 +1,17 @@
 /*
  * Selects the members of a group and divides the prompt among them.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.groups
 
 import kotlin.math.ceil
 import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.ServiceDocument
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.PlacementCandidate
+import org.gypsumroute.core.admission.fits
+import org.gypsumroute.core.requests.RequestRecord
+import org.gypsumroute.core.requests.candidates
 
 /**
  * The smallest group within one data centre whose memory can hold the prompt and its output, or
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GroupsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/groups/GroupsReducer.kt
@@ -5,7 +5,7 @@
  * wait, and all are released if one is refused or not granted in time. This prevents a deadlock in
  * which groups wait for each other's leases in a cycle.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.groups
 
 import kotlin.time.Duration
 import org.gypsumroute.api.ErrorKind
@@ -17,6 +17,33 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.PlacementCandidate
+import org.gypsumroute.core.leases.LeaseRecord
+import org.gypsumroute.core.leases.LeaseStage
+import org.gypsumroute.core.leases.dispatch
+import org.gypsumroute.core.leases.lateGrantFailure
+import org.gypsumroute.core.leases.releaseLease
+import org.gypsumroute.core.requests.RequestPhase
+import org.gypsumroute.core.requests.RequestRecord
+import org.gypsumroute.core.requests.canMeetDeadline
+import org.gypsumroute.core.requests.candidates
+import org.gypsumroute.core.requests.consumeRetryBudget
+import org.gypsumroute.core.requests.dispatch
+import org.gypsumroute.core.requests.fail
+import org.gypsumroute.core.requests.mayReceiveNewWork
+import org.gypsumroute.core.requests.releaseLease
+import org.gypsumroute.core.requests.requestLease
+import org.gypsumroute.core.requests.retryDelay
+import org.gypsumroute.core.requests.scheduleNextAttempt
+import org.gypsumroute.core.requests.setAttemptTimer
+import org.gypsumroute.core.requests.waitForEndpoint
+import org.gypsumroute.core.requests.withExcludedHost
+import org.gypsumroute.core.requests.withLease
+import org.gypsumroute.core.requests.withRequest
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 internal fun needsGroup(record: RequestRecord, candidates: List<PlacementCandidate>): Boolean {
     if (record.spec.kind != WorkKind.GENERATION) return false
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/AgentLeasesReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/leases/AgentLeasesReducer.kt
@@ -4,7 +4,7 @@
  * Each lease has one valid entry in the ordered deadlines, at or before its due time. A renewal
  * doesn't move the entry; when the entry's time comes, the lease is entered again at its new time.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 import kotlin.time.Duration
 import org.gypsumroute.api.Effect
@@ -21,6 +21,18 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.actions.forgetUnrecordedAnswer
+import org.gypsumroute.core.actions.withoutClaim
+import org.gypsumroute.core.admission.deadlineUnreachable
+import org.gypsumroute.core.admission.refuseQueued
+import org.gypsumroute.core.engine.cancelWork
+import org.gypsumroute.core.engine.releaseHandle
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.peers.sendTo
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 /** Stores a lease, and adds a deadline and a timer unless an earlier one already covers it. */
 internal fun putLease(state: AgentState, lease: Lease): Step<AgentState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryLeasesReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/leases/EntryLeasesReducer.kt
@@ -1,7 +1,7 @@
 /*
  * Handles what agents report about this entry's leases: grants, refusals and failed work.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 import org.gypsumroute.api.CallerEffect
 import org.gypsumroute.api.ErrorKind
@@ -18,6 +18,26 @@
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.actions.reduceActionRefused
+import org.gypsumroute.core.groups.failGroup
+import org.gypsumroute.core.groups.reduceMemberGranted
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.requests.RequestPhase
+import org.gypsumroute.core.requests.RequestRecord
+import org.gypsumroute.core.requests.fail
+import org.gypsumroute.core.requests.failWith
+import org.gypsumroute.core.requests.mayReceiveNewWork
+import org.gypsumroute.core.requests.place
+import org.gypsumroute.core.requests.releaseLease
+import org.gypsumroute.core.requests.retry
+import org.gypsumroute.core.requests.withExcludedHost
+import org.gypsumroute.core.requests.withLease
+import org.gypsumroute.core.requests.withRequest
+import org.gypsumroute.core.requests.withoutLease
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 internal fun reduceGrantIssued(
     state: EntryState,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeaseDeadlines.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/leases/LeaseDeadlines.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 import org.gypsumroute.api.LeaseId
 import org.gypsumroute.api.Moment
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeasePhase.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/leases/LeasePhase.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 /** Progress of a lease as its entry sees it; the ledger tracks what the engine holds. */
 enum class LeasePhase {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/LeaseRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/leases/LeaseRecord.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 import org.gypsumroute.api.GroupSegment
 import org.gypsumroute.api.HostId
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Ledger.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/leases/Ledger.kt
@@ -1,10 +1,11 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.gypsumroute.api.HandleId
 import org.gypsumroute.api.LeaseId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.peers.lengthClass
 
 /**
  * Reservations of the endpoint's capacity.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Orphans.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/leases/Orphans.kt
@@ -3,7 +3,7 @@
  * earlier agent process or by lost messages. After one lease time no entry can claim them any
  * more.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.toPersistentMap
@@ -18,6 +18,8 @@
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.logEffect
 
 /** Updates the orphans from a report, and cancels or releases those older than the lease time. */
 internal fun reconcileOrphans(state: AgentState, report: EngineState): Step<AgentState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Reconciliation.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/leases/Reconciliation.kt
@@ -4,7 +4,7 @@
  * Reports lag: they may miss the newest streams and still list ended ones. A cancelled stream
  * counts as ended after two consecutive reads, both sent after the cancel, that do not list it.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 import org.gypsumroute.api.EngineEffect
 import org.gypsumroute.api.EngineState
@@ -15,6 +15,19 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.engine.EngineHold
+import org.gypsumroute.core.engine.advanceModelOrder
+import org.gypsumroute.core.engine.failLostWork
+import org.gypsumroute.core.engine.freeReservation
+import org.gypsumroute.core.engine.resetWarmth
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.map
+import org.gypsumroute.core.peers.poolDocuments
+import org.gypsumroute.core.peers.servedDocument
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 /** Repeats unconfirmed cancels and releases, and reads the engine's state. */
 internal fun checkEngine(state: AgentState): Step<AgentState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/Reservation.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/leases/Reservation.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 import org.gypsumroute.api.HandleId
 import org.gypsumroute.api.LeaseId
@@ -6,6 +6,8 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.engine.EngineHold
+import org.gypsumroute.core.peers.lengthClass
 
 /**
  * Engine memory and a slot that are reserved for one lease.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EndpointSubset.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/peers/EndpointSubset.kt
@@ -7,11 +7,16 @@
  * hosts are added or removed. In addition, each entry connects to some endpoints of every pool
  * within one data centre, because a group of endpoints must not span data centres.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.peers
 
 import kotlin.math.max
 import org.gypsumroute.api.HostRecord
 import org.gypsumroute.api.NodeRole
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.map
+import org.gypsumroute.core.rendezvousWeight
+import org.gypsumroute.core.rendezvousWeightOfHashes
+import org.gypsumroute.core.stableHash
 
 /** The endpoints that this entry connects to: all of them if the fleet is small enough. */
 internal fun chooseEndpoints(common: CommonState): List<HostRecord> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EndpointSummaries.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/peers/EndpointSummaries.kt
@@ -1,7 +1,7 @@
 /*
  * The summary of load and capacity that an agent sends to entries.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.peers
 
 import kotlin.time.Duration
 import org.gypsumroute.api.EndpointSummary
@@ -10,6 +10,14 @@
 import org.gypsumroute.api.ServiceDocument
 import org.gypsumroute.api.ServiceKind
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.admission.classIndex
+import org.gypsumroute.core.admission.freeMemory
+import org.gypsumroute.core.admission.isDraining
+import org.gypsumroute.core.admission.offeredShare
+import org.gypsumroute.core.admission.slotLimit
+import org.gypsumroute.core.map
 
 internal fun endpointSummary(state: AgentState): EndpointSummary {
     val document = servedDocument(state)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/HostsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/peers/HostsReducer.kt
@@ -2,7 +2,7 @@
  * Stores the host list that was read last. Working connections stay open even if the list is stale,
  * cannot be read or no longer names the host.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.peers
 
 import kotlinx.collections.immutable.toPersistentMap
 import org.gypsumroute.api.HostId
@@ -12,6 +12,9 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.step
 
 internal fun reduceHostsRead(
     common: CommonState,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PeerLink.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/peers/PeerLink.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.peers
 
 import org.gypsumroute.api.ConnectionId
 import org.gypsumroute.api.EndpointSummary
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PeerMessaging.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/peers/PeerMessaging.kt
@@ -1,9 +1,10 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.peers
 
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.PeerEffect
 import org.gypsumroute.api.PeerMessage
+import org.gypsumroute.core.CommonState
 
 /** Sends a message to a peer on its current connection; null if it has none. */
 internal fun sendTo(common: CommonState, peer: HostId, message: PeerMessage): Effect? =
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PeersReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/peers/PeersReducer.kt
@@ -6,7 +6,7 @@
  * decides whether the peer has failed, because a connection can break while new ones to the same
  * peer work.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.peers
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.mutate
@@ -23,6 +23,11 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.step
+import org.gypsumroute.core.thenEach
+import org.gypsumroute.core.unitInterval
 
 internal fun reducePeerConnected(
     common: CommonState,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DeadlineQueue.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/requests/DeadlineQueue.kt
@@ -4,7 +4,7 @@
  * Reading the earliest deadline costs O(1); adding and removing cost O(log n). The deadline of a
  * request that ends early stays in the queue until it is reached and is then ignored.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.RequestId
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/DispatchReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/requests/DispatchReducer.kt
@@ -2,7 +2,7 @@
  * The agent side of dispatch: accepts the work of a granted lease, waits for its body, and starts
  * it at the engine or the plain service.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.EngineEffect
@@ -14,6 +14,23 @@
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.AgentState
+import org.gypsumroute.core.actions.ActionPhase
+import org.gypsumroute.core.actions.actionSequence
+import org.gypsumroute.core.actions.withRunning
+import org.gypsumroute.core.engine.EngineHold
+import org.gypsumroute.core.leases.Lease
+import org.gypsumroute.core.leases.LeasePhase
+import org.gypsumroute.core.leases.endLease
+import org.gypsumroute.core.leases.leaseOf
+import org.gypsumroute.core.leases.putLease
+import org.gypsumroute.core.leases.renewLease
+import org.gypsumroute.core.leases.sendWorkFailed
+import org.gypsumroute.core.leases.unknownLease
+import org.gypsumroute.core.peers.lengthClass
+import org.gypsumroute.core.peers.sendTo
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
 
 internal fun dispatch(
     state: AgentState,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PlacementPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/requests/PlacementPolicies.kt
@@ -1,9 +1,18 @@
 /*
  * Policies that rank the endpoints for a request.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import kotlin.time.Duration
+import org.gypsumroute.core.PlacementCandidate
+import org.gypsumroute.core.PlacementContext
+import org.gypsumroute.core.PlacementPolicy
+import org.gypsumroute.core.admission.fits
+import org.gypsumroute.core.admission.freeMemory
+import org.gypsumroute.core.map
+import org.gypsumroute.core.peers.expectedWait
+import org.gypsumroute.core.rendezvousWeight
+import org.gypsumroute.core.unitInterval
 
 /** Placement functions for [Policies.placement]. */
 object PlacementPolicies {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/PlacementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/requests/PlacementReducer.kt
@@ -1,7 +1,7 @@
 /*
  * Places requests: selects endpoints, requests leases from them, and schedules retries.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.persistentSetOf
@@ -19,6 +19,28 @@
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
 import org.gypsumroute.api.WorkOrder
+import org.gypsumroute.core.CommonState
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.PlacementCandidate
+import org.gypsumroute.core.PlacementContext
+import org.gypsumroute.core.RetryContext
+import org.gypsumroute.core.actions.placeAction
+import org.gypsumroute.core.actions.requestActionKey
+import org.gypsumroute.core.admission.fits
+import org.gypsumroute.core.groups.MemberRequest
+import org.gypsumroute.core.groups.failGroup
+import org.gypsumroute.core.groups.needsGroup
+import org.gypsumroute.core.groups.placeGroup
+import org.gypsumroute.core.leases.LeaseRecord
+import org.gypsumroute.core.leases.LeaseStage
+import org.gypsumroute.core.leases.lateGrantFailure
+import org.gypsumroute.core.peers.expectedWait
+import org.gypsumroute.core.peers.lengthClass
+import org.gypsumroute.core.peers.sendTo
+import org.gypsumroute.core.stableHash
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 /** Requests leases from the best endpoints, or schedules another attempt if there are none. */
 internal fun place(state: EntryState, record: RequestRecord): Step<EntryState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/ReadersReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/requests/ReadersReducer.kt
@@ -4,7 +4,7 @@
  * The engine is never throttled. Answers are buffered in the entry until a limit is exceeded; then
  * the request whose answer has been stalled for the longest time fails.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import org.gypsumroute.api.Bytes
 import org.gypsumroute.api.ErrorKind
@@ -12,6 +12,12 @@
 import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.Step
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.drain.DrainPhase
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 /** Fails stalled requests until the buffer limits that apply to [request] are met. */
 internal fun enforceBufferLimits(state: EntryState, request: RequestId): Step<EntryState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RequestEnding.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/requests/RequestEnding.kt
@@ -1,7 +1,7 @@
 /*
  * Ends requests after failures, deadlines and completed answers, and releases their leases.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -22,6 +22,16 @@
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.admission.failureWithRetryAdvice
+import org.gypsumroute.core.leases.LeaseRecord
+import org.gypsumroute.core.leases.LeaseStage
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.peers.lengthClass
+import org.gypsumroute.core.peers.sendTo
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 /** Fails all requests whose deadline has passed; runs at the clock reading before each event. */
 internal fun expireRequests(state: EntryState): Step<EntryState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RequestRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/requests/RequestRecord.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
@@ -17,6 +17,9 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.ServiceOrganisation
+import org.gypsumroute.core.groups.GroupPlan
+import org.gypsumroute.core.peers.lengthClass
 
 /**
  * What a caller asked for; does not change after admission. [kind] is null if the caller asks for
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/RetryPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/requests/RetryPolicies.kt
@@ -1,10 +1,12 @@
 /*
  * Policies that decide whether and when to retry.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import kotlin.time.Duration
 import org.gypsumroute.api.RetryRule
+import org.gypsumroute.core.RetryPolicy
+import org.gypsumroute.core.unitInterval
 
 /** Retry functions for [Policies.retry]. */
 object RetryPolicies {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/StreamsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/requests/StreamsReducer.kt
@@ -2,7 +2,7 @@
  * Handles the answers that are streamed to callers, and the connections to the endpoints that
  * generate them.
  */
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import kotlin.time.DurationUnit
 import org.gypsumroute.api.AnswerEvent
@@ -18,6 +18,15 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.leases.LeaseRecord
+import org.gypsumroute.core.leases.LeaseStage
+import org.gypsumroute.core.leases.dispatchEffects
+import org.gypsumroute.core.leases.reduceLeaseLost
+import org.gypsumroute.core.map
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 internal fun reduceAnswer(state: EntryState, event: AnswerEvent): Step<EntryState> = when (event) {
     is AnswerEvent.FirstToken -> ifRunning(state, event.request, event.lease) { record ->
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentFixture.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentFixture.kt
@@ -44,6 +44,18 @@
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
 import org.gypsumroute.api.WorkOrder
+import org.gypsumroute.core.actions.ActionSecret
+import org.gypsumroute.core.admission.estimateAtWarmSpeed
+import org.gypsumroute.core.admission.requestGrant
+import org.gypsumroute.core.admission.shortestClassFirst
+import org.gypsumroute.core.engine.growAtWarmSpeed
+import org.gypsumroute.core.engine.noRamp
+import org.gypsumroute.core.leases.Lease
+import org.gypsumroute.core.leases.checkEngine
+import org.gypsumroute.core.leases.dispatch
+import org.gypsumroute.core.peers.lengthClass
+import org.gypsumroute.core.requests.dispatch
+import org.gypsumroute.core.requests.startWork
 
 internal val menuModel = EngineModel(ModelId("menu-model"), null, "1")
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentReducerPropertyTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentReducerPropertyTest.kt
@@ -18,6 +18,13 @@
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.admission.initialShare
+import org.gypsumroute.core.admission.offeredShare
+import org.gypsumroute.core.admission.requestGrant
+import org.gypsumroute.core.admission.slotLimit
+import org.gypsumroute.core.leases.LeasePhase
+import org.gypsumroute.core.leases.dispatch
+import org.gypsumroute.core.requests.dispatch
 
 /**
  * Guards against overloaded engines, leaked memory and late or repeated work in any event order.
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryHarness.kt
@@ -38,6 +38,13 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.admission.freeMemory
+import org.gypsumroute.core.admission.refuse
+import org.gypsumroute.core.leases.LeaseRecord
+import org.gypsumroute.core.peers.expectedWait
+import org.gypsumroute.core.requests.PlacementPolicies
+import org.gypsumroute.core.requests.RetryPolicies
+import org.gypsumroute.core.requests.retry
 
 /** An entry under test: feeds events, each after a clock reading, and records all effects. */
 internal class EntryHarness(
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryRandomEventsTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryRandomEventsTest.kt
@@ -33,6 +33,11 @@
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.WorkKind
 import org.gypsumroute.api.WorkOrder
+import org.gypsumroute.core.admission.refuse
+import org.gypsumroute.core.drain.DrainPhase
+import org.gypsumroute.core.leases.BufferLedger
+import org.gypsumroute.core.leases.LeaseRecord
+import org.gypsumroute.core.leases.LeaseStage
 
 /**
  * Guards against requests that end twice or never, leaked leases, a wrong `not_run`, and leases
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ReadinessTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ReadinessTest.kt
@@ -7,6 +7,7 @@
 import org.gypsumroute.api.PlatformEvent.DocumentRead
 import org.gypsumroute.api.RuntimeEvent.TimerFired
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.documents.DocumentsState
 import org.junit.jupiter.api.Test
 
 /** Guards against an entry that is ready with only some documents and refuses other services. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/TestStates.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/TestStates.kt
@@ -34,6 +34,9 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.ServiceKind
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.documents.DocumentsState
+import org.gypsumroute.core.requests.candidates
+import org.gypsumroute.core.requests.retry
 
 internal fun testNode(host: String = "entry-1", role: NodeRole = NodeRole.ENTRY) = NodeIdentity(
     host = HostId(host),
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentActionsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/actions/AgentActionsReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.actions
 
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -13,6 +13,22 @@
 import org.gypsumroute.api.PeerMessage
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.core.AgentFixture
+import org.gypsumroute.core.admission.requestGrant
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.asAction
+import org.gypsumroute.core.asPlainService
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.leases.dispatch
+import org.gypsumroute.core.notRun
+import org.gypsumroute.core.outcome
+import org.gypsumroute.core.refusal
+import org.gypsumroute.core.requestActionKey
+import org.gypsumroute.core.requests.dispatch
+import org.gypsumroute.core.requests.startWork
+import org.gypsumroute.core.sent
+import org.gypsumroute.core.testDocument
+import org.gypsumroute.core.workFailure
 import org.junit.jupiter.api.Test
 
 /** Guards against actions, such as placing an order, that run twice when a request is repeated. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryActionsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/actions/EntryActionsReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.actions
 
 import arrow.core.right
 import kotlin.test.assertEquals
@@ -18,6 +18,15 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.ServiceKind
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.EntryHarness
+import org.gypsumroute.core.admission.refuse
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.leases.LeaseRecord
+import org.gypsumroute.core.outcome
+import org.gypsumroute.core.refusal
+import org.gypsumroute.core.sent
+import org.gypsumroute.core.testDocument
 import org.junit.jupiter.api.Test
 
 /** Guards against actions that run twice or are reported as not run although they may have run. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AdmissionReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/admission/AdmissionReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
@@ -13,6 +13,13 @@
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.core.EntryHarness
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.failures
+import org.gypsumroute.core.leases.BufferLedger
+import org.gypsumroute.core.map
+import org.gypsumroute.core.testDocument
 import org.junit.jupiter.api.Test
 
 /** Guards against admitting requests that violate their service document or the entry's limits. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/GrantsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/admission/GrantsReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import arrow.core.right
 import kotlin.test.assertEquals
@@ -19,6 +19,22 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.AgentFixture
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.agentRecord
+import org.gypsumroute.core.asSegment
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.leases.LeasePhase
+import org.gypsumroute.core.leases.checkEngine
+import org.gypsumroute.core.notRun
+import org.gypsumroute.core.outcome
+import org.gypsumroute.core.refusal
+import org.gypsumroute.core.requests.place
+import org.gypsumroute.core.requests.retry
+import org.gypsumroute.core.sent
+import org.gypsumroute.core.summary
+import org.gypsumroute.core.testDocument
+import org.gypsumroute.core.withPrompt
 import org.junit.jupiter.api.Test
 
 /** Guards against overload, head-of-line blocking and grants of endpoints that must not serve. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/QueueOrdersTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/admission/QueueOrdersTest.kt
@@ -1,10 +1,14 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.admission
 
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.QueueContext
+import org.gypsumroute.core.QueuedWork
+import org.gypsumroute.core.peers.lengthClass
+import org.gypsumroute.core.testDocument
 import org.junit.jupiter.api.Test
 
 /** Guards against short requests blocked by long ones, starved long ones, and unfair shares. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/DocumentValidationTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/documents/DocumentValidationTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.documents
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -10,6 +10,10 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.ServiceKind
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.admission.initialShare
+import org.gypsumroute.core.map
+import org.gypsumroute.core.requests.retry
+import org.gypsumroute.core.testDocument
 
 /** Guards against documents that would disable a service or let one class starve the others. */
 class DocumentValidationTest {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/DocumentsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/documents/DocumentsReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.documents
 
 import arrow.core.right
 import kotlin.test.assertEquals
@@ -10,6 +10,9 @@
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.PlatformEvent.DocumentRead
 import org.gypsumroute.api.ServiceId
+import org.gypsumroute.core.step
+import org.gypsumroute.core.testCommon
+import org.gypsumroute.core.testDocument
 import org.junit.jupiter.api.Test
 
 /** Guards against older documents replacing newer ones, and processes that disagree on them. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentDrainTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/drain/AgentDrainTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.drain
 
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -10,6 +10,14 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.AgentFixture
+import org.gypsumroute.core.admission.requestGrant
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.leases.checkEngine
+import org.gypsumroute.core.notRun
+import org.gypsumroute.core.outcome
+import org.gypsumroute.core.refusal
 import org.junit.jupiter.api.Test
 
 /** Guards against drains that abort running requests or never end. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EngineOrdersTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/engine/EngineOrdersTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.engine
 
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -20,6 +20,18 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.AgentFixture
+import org.gypsumroute.core.admission.requestGrant
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.agentRecord
+import org.gypsumroute.core.engineState
+import org.gypsumroute.core.leases.checkEngine
+import org.gypsumroute.core.map
+import org.gypsumroute.core.menuModel
+import org.gypsumroute.core.refusal
+import org.gypsumroute.core.sent
+import org.gypsumroute.core.testDocument
+import org.gypsumroute.core.testNode
 import org.junit.jupiter.api.Test
 
 /** Guards against model orders that conflict, interrupt work or reload a whole pool at once. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/WarmthReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/engine/WarmthReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.engine
 
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -14,6 +14,22 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.AgentFixture
+import org.gypsumroute.core.RampContext
+import org.gypsumroute.core.admission.offeredShare
+import org.gypsumroute.core.admission.requestGrant
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.agentPolicies
+import org.gypsumroute.core.asPlainService
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.failures
+import org.gypsumroute.core.leases.checkEngine
+import org.gypsumroute.core.map
+import org.gypsumroute.core.notRun
+import org.gypsumroute.core.requests.startWork
+import org.gypsumroute.core.sent
+import org.gypsumroute.core.testDocument
+import org.gypsumroute.core.withPrompt
 import org.junit.jupiter.api.Test
 
 /** Guards against full load on engines that have just started or have become slow. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/AgentProcess.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/AgentProcess.kt
@@ -15,10 +15,10 @@
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.SegmentHandle
 import org.gypsumroute.api.Tokens
-import org.gypsumroute.core.ActionSecret
 import org.gypsumroute.core.AgentState
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.NodeState
+import org.gypsumroute.core.actions.ActionSecret
 
 /** An agent with its engine or plain service. The engine keeps running when the agent is killed. */
 internal class AgentProcess(fleet: Fleet, record: HostRecord, val engine: SimulatedEngine) :
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/GroupsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/groups/GroupsReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.groups
 
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -11,6 +11,15 @@
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.WorkKind
+import org.gypsumroute.core.EntryHarness
+import org.gypsumroute.core.admission.refuse
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.leases.LeaseRecord
+import org.gypsumroute.core.leases.LeaseStage
+import org.gypsumroute.core.map
+import org.gypsumroute.core.sent
+import org.gypsumroute.core.testDocument
 import org.junit.jupiter.api.Test
 
 /** Guards against groups that leak leases, deadlock or lose a segment. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/AgentLeasesReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/leases/AgentLeasesReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -11,6 +11,15 @@
 import org.gypsumroute.api.PeerMessage
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.AgentFixture
+import org.gypsumroute.core.admission.requestGrant
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.asSegment
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.outcome
+import org.gypsumroute.core.requests.startWork
+import org.gypsumroute.core.sent
+import org.gypsumroute.core.workFailure
 import org.junit.jupiter.api.Test
 
 /** Guards against leases that outlive their entry and against memory that is never freed. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/ReconciliationTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/leases/ReconciliationTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.leases
 
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -17,6 +17,22 @@
 import org.gypsumroute.api.SegmentHandle
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.AgentFixture
+import org.gypsumroute.core.admission.freeMemory
+import org.gypsumroute.core.admission.requestGrant
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.agentPolicies
+import org.gypsumroute.core.asSegment
+import org.gypsumroute.core.engineState
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.failures
+import org.gypsumroute.core.map
+import org.gypsumroute.core.notRun
+import org.gypsumroute.core.outcome
+import org.gypsumroute.core.reduce
+import org.gypsumroute.core.requests.startWork
+import org.gypsumroute.core.sent
+import org.gypsumroute.core.workFailure
 import org.junit.jupiter.api.Test
 
 /** Guards against a ledger that differs from what the engine really holds. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/PeersReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/peers/PeersReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.peers
 
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -13,6 +13,11 @@
 import org.gypsumroute.api.PeerEffect
 import org.gypsumroute.api.PoolId
 import org.gypsumroute.api.RegionId
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.map
+import org.gypsumroute.core.step
+import org.gypsumroute.core.testCommon
+import org.gypsumroute.core.testNode
 import org.junit.jupiter.api.Test
 
 /** Guards against dead connections that count as open, and uneven subsets of endpoints. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/PlacementReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/requests/PlacementReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import arrow.core.right
 import kotlin.test.assertEquals
@@ -16,6 +16,21 @@
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.EntryHarness
+import org.gypsumroute.core.PlacementCandidate
+import org.gypsumroute.core.PlacementContext
+import org.gypsumroute.core.PlacementPolicy
+import org.gypsumroute.core.admission.refuse
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.failures
+import org.gypsumroute.core.map
+import org.gypsumroute.core.peers.expectedWait
+import org.gypsumroute.core.sent
+import org.gypsumroute.core.summary
+import org.gypsumroute.core.testDocument
+import org.gypsumroute.core.testPolicies
+import org.gypsumroute.core.then
 import org.junit.jupiter.api.Test
 
 /** Guards against work for hosts that may not receive any, and against unbounded retries. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/StreamsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/requests/StreamsReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core
+package org.gypsumroute.core.requests
 
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
@@ -15,6 +15,15 @@
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.EntryHarness
+import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.failures
+import org.gypsumroute.core.leases.LeaseRecord
+import org.gypsumroute.core.map
+import org.gypsumroute.core.outcome
+import org.gypsumroute.core.sent
 import org.junit.jupiter.api.Test
 
 /** Guards against answers that are cut off or too long, and failures with a wrong run state. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/LineFrontEnd.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/LineFrontEnd.kt
@@ -25,6 +25,9 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.core.NodeState
+import org.gypsumroute.core.agent
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.summary
 
 /** Answers the prompts that the reducer admits and dispatches by calling [complete]. */
 class LineFrontEnd(
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/LineFrontEndTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/LineFrontEndTest.kt
@@ -28,7 +28,12 @@
 import org.gypsumroute.core.EntryState
 import org.gypsumroute.core.NodeIdentity
 import org.gypsumroute.core.Timings
+import org.gypsumroute.core.admission.freeMemory
+import org.gypsumroute.core.agent
 import org.gypsumroute.core.defaultPolicies
+import org.gypsumroute.core.failure
+import org.gypsumroute.core.peers.expectedWait
+import org.gypsumroute.core.summary
 import org.gypsumroute.core.testDocument
 
 class LineFrontEndTest {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/ReducerLoop.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/example/ReducerLoop.kt
@@ -9,6 +9,7 @@
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.NodeState
 import org.gypsumroute.core.reduce
+import org.gypsumroute.core.step
 
 /**
  * Feeds events to the reducer one by one and passes its effects to [carryOut], which reports
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/StatusJson.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/StatusJson.kt
@@ -17,9 +17,9 @@
 import org.gypsumroute.api.EndpointSummary
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.EntryState
-import org.gypsumroute.core.PeerLink
-import org.gypsumroute.core.RequestPhase
-import org.gypsumroute.core.RequestRecord
+import org.gypsumroute.core.peers.PeerLink
+import org.gypsumroute.core.requests.RequestPhase
+import org.gypsumroute.core.requests.RequestRecord
 import org.gypsumroute.runtime.ObjectiveBurnRates
 
 /** State of this entry: its documents, endpoints, requests and slow readers. */
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/SampleFleet.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/SampleFleet.kt
@@ -44,12 +44,12 @@
 import org.gypsumroute.api.ServiceKind
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
-import org.gypsumroute.core.ActionSecret
 import org.gypsumroute.core.AgentState
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.EntryState
 import org.gypsumroute.core.NodeIdentity
 import org.gypsumroute.core.Timings
+import org.gypsumroute.core.actions.ActionSecret
 import org.gypsumroute.core.defaultPolicies
 
 /** An entry that has started and is connected to [endpoints] endpoints. */
