--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/RequestHead.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/RequestHead.kt
@@ -7,8 +7,7 @@
  *
  * [callerRequestId] is the id that the caller gave the request. [timeout] is how long the caller
  * waits for the answer. [timeout], [promptTokens], [outputLimit] and [expectedOutput] are null if
- * the caller did not state them. [resumed] is true if the caller continues a stream that it read a
- * part of.
+ * the caller did not state them.
  */
 data class RequestHead(
     val callerRequestId: String,
@@ -18,6 +17,5 @@
     val timeout: Duration?,
     val promptTokens: Tokens?,
     val outputLimit: Tokens?,
-    val expectedOutput: Tokens?,
-    val resumed: Boolean
+    val expectedOutput: Tokens?
 )
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/EntryProcess.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/EntryProcess.kt
@@ -55,7 +55,7 @@
 
             is CallerEffect.AnswerActionKey -> {
                 fleet.keys += effect.key
-                fleet.oracle.requestAnswered(effect.request, fleet.schedule.now)
+                fleet.oracle.requestAnswered(effect.request)
                 offerLater(CallerEvent.AnswerTaken(effect.request))
             }
 
@@ -79,7 +79,7 @@
     // A real front end does not replace an answer that the caller has already received.
     private fun fail(effect: CallerEffect.Fail) {
         if (effect.request in completed) return
-        fleet.oracle.requestFailed(effect.request, effect.failure, fleet.schedule.now)
+        fleet.oracle.requestFailed(effect.request, effect.failure)
         leaseByRequest.remove(effect.request)
         offerLater(CallerEvent.AnswerTaken(effect.request))
     }
@@ -101,7 +101,7 @@
             offer(AnswerEvent.Progress(request, frame.lease, tokens, held))
         } else if (completed.add(request)) {
             offer(AnswerEvent.Completed(request, frame.lease, tokens, held))
-            fleet.oracle.requestAnswered(request, fleet.schedule.now)
+            fleet.oracle.requestAnswered(request)
             offerLater(CallerEvent.AnswerTaken(request))
         }
     }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/RequestOracle.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/fuzz/RequestOracle.kt
@@ -36,17 +36,17 @@
         if (runs > 1) violations += "action $key ran $runs times"
     }
 
-    fun requestFailed(request: RequestId, failure: Failure, at: Moment) {
+    fun requestFailed(request: RequestId, failure: Failure) {
         val observed = requests[request] ?: return
         if (failure.runState == RunState.NOT_RUN && observed.ran) {
             violations += "$request was refused as not_run (${failure.kind}) although it ran"
         }
-        end(request, observed, Ending(failure.kind.code, failure.runState), at)
+        end(request, observed, Ending(failure.kind.code, failure.runState))
     }
 
-    fun requestAnswered(request: RequestId, at: Moment) {
+    fun requestAnswered(request: RequestId) {
         val observed = requests[request] ?: return
-        end(request, observed, Ending("ok", RunState.RAN), at)
+        end(request, observed, Ending("ok", RunState.RAN))
     }
 
     /**
@@ -57,10 +57,6 @@
         requests.values.removeAll { it.entry == entry && it.ended == null }
     }
 
-    fun callerLeft(request: RequestId) {
-        requests.remove(request)
-    }
-
     fun unfinished(): List<RequestId> = requests.filterValues { it.ended == null }.keys.toList()
 
     /** Requests of running entries that should have ended by [now]. */
@@ -71,20 +67,16 @@
     fun outcomes(): Map<String, Int> =
         requests.values.mapNotNull { it.ended?.kind }.groupingBy { it }.eachCount()
 
-    private fun end(request: RequestId, observed: ObservedRequest, ending: Ending, at: Moment) {
-        if (observed.ended !=
-            null
-        ) {
+    private fun end(request: RequestId, observed: ObservedRequest, ending: Ending) {
+        if (observed.ended != null) {
             violations += "$request ended twice: ${observed.ended?.kind}, ${ending.kind}"
         }
         observed.ended = ending
-        observed.endedAt = at
     }
 
     private class ObservedRequest(val entry: HostId, val deadline: Moment) {
         var ran = false
         var ended: Ending? = null
-        var endedAt: Moment? = null
     }
 
     private data class Ending(val kind: String, val runState: RunState)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -276,8 +276,7 @@
     timeout = deadline,
     promptTokens = prompt?.let { Tokens(it) },
     outputLimit = output?.let { Tokens(it) },
-    expectedOutput = null,
-    resumed = false
+    expectedOutput = null
 )
 
 /** A harness that has read [sampleTable] and these endpoints. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/GatewaySimulation.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/GatewaySimulation.kt
@@ -9,7 +9,6 @@
 import kotlin.math.ln
 import kotlin.math.sqrt
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.Bytes
 import org.gypsumroute.api.DataCentreId
@@ -17,7 +16,6 @@
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.EndpointRecord
-import org.gypsumroute.api.EngineProfile
 import org.gypsumroute.api.Event
 import org.gypsumroute.api.ExchangeEffect
 import org.gypsumroute.api.ExchangeEvent
@@ -53,53 +51,9 @@
 import org.gypsumroute.core.gateway.modelService
 import org.gypsumroute.core.gateway.routeOf
 import org.gypsumroute.core.gateway.sampleBounds
-import org.gypsumroute.core.gateway.sampleProfile
 import org.gypsumroute.core.gateway.tableOf
 import org.gypsumroute.core.reduce
 
-/**
- * Requests of one kind. The lengths of prompts, in tokens, and of answers, in stream events, are
- * log-normal with these means and relative spreads; no prompt exceeds [maxPrompt]. A request of
- * average size has [value] if it is in time and [lateValue] if its first event or a pause is late.
- */
-internal data class RequestKind(
-    val name: String,
-    val ratePerSecond: Double,
-    val meanPrompt: Double,
-    val relativePromptSpread: Double,
-    val maxPrompt: Double,
-    val meanEvents: Double,
-    val relativeEventsSpread: Double,
-    val objective: Duration,
-    val gap: Duration,
-    val deadline: Duration,
-    val value: Double,
-    val lateValue: Double
-)
-
-/** A time in which the rate of each kind is multiplied by its factor; 1 if it has none. */
-internal data class LoadPhase(val durationMs: Double, val factors: Map<String, Double>)
-
-/** Results of one kind: the value offered and earned, and numbers of requests by outcome. */
-internal class KindResults {
-    var offeredValue = 0.0
-    var earnedValue = 0.0
-    var arrivals = 0
-    var inTime = 0
-    var lateFirst = 0
-    var latePause = 0
-    var unserved = 0
-    val share: Double get() = if (offeredValue == 0.0) 1.0 else earnedValue / offeredValue
-}
-
-/** A deployment whose engines are distributed evenly over [dataCentres]. */
-internal class Deployment(
-    val dataCentres: Int = 3,
-    val gatewaysPerDataCentre: Int = 1,
-    val engines: Int = 16,
-    val profile: EngineProfile = sampleProfile
-)
-
 /** One simulation run; the seed determines all requests and choices. */
 internal class GatewaySimulation(
     private val deployment: Deployment,
@@ -227,8 +181,7 @@
                             timeout = kind.deadline,
                             promptTokens = Tokens(prompt),
                             outputLimit = Tokens(output * 4),
-                            expectedOutput = Tokens(statedOutput),
-                            resumed = false
+                            expectedOutput = Tokens(statedOutput)
                         ),
                         Bytes(0)
                     )
@@ -407,25 +360,3 @@
         fun mix(value: Long): String = java.lang.Long.toHexString(value * -0x61c8864680b583ebL)
     }
 }
-
-/** Sample load of a restaurant menu service: many short prompts and few very long ones. */
-internal object SampleLoad {
-    val kinds = listOf(
-        RequestKind(
-            "short", 24.6, 4960.0, 0.9, 23_800.0, 34.9, 0.7,
-            300.milliseconds, 200.milliseconds, 10_000.milliseconds, 1.3, 0.33
-        ),
-        RequestKind(
-            "middle", 1.79, 45_000.0, 0.5, 110_000.0, 20.9, 0.6,
-            1500.milliseconds, 500.milliseconds, 10_000.milliseconds, 3.1, 0.79
-        ),
-        RequestKind(
-            "long", 0.743, 210_000.0, 0.55, 1_000_000.0, 17.4, 0.5,
-            3000.milliseconds, 800.milliseconds, 15_000.milliseconds, 22.0, 5.4
-        )
-    )
-    val longPhase = LoadPhase(9500.0, mapOf("short" to 0.32, "middle" to 1.3, "long" to 2.7))
-    val shortPhase = LoadPhase(9500.0, mapOf("short" to 2.4, "middle" to 0.5, "long" to 0.05))
-    val normalPhase = LoadPhase(2000.0, emptyMap())
-    val phases = listOf(normalPhase, longPhase, shortPhase, longPhase)
-}
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/SimulatedLoad.kt
@@ -0,0 +1,51 @@
+/*
+ * What a simulation is given, and the results of it.
+ */
+package org.gypsumroute.core.gateway.simulation
+
+import kotlin.time.Duration
+import org.gypsumroute.api.EngineProfile
+import org.gypsumroute.core.gateway.sampleProfile
+
+/**
+ * Requests of one kind. The lengths of prompts, in tokens, and of answers, in stream events, are
+ * log-normal with these means and relative spreads; no prompt exceeds [maxPrompt]. A request of
+ * average size has [value] if it is in time and [lateValue] if its first event or a pause is late.
+ */
+internal data class RequestKind(
+    val name: String,
+    val ratePerSecond: Double,
+    val meanPrompt: Double,
+    val relativePromptSpread: Double,
+    val maxPrompt: Double,
+    val meanEvents: Double,
+    val relativeEventsSpread: Double,
+    val objective: Duration,
+    val gap: Duration,
+    val deadline: Duration,
+    val value: Double,
+    val lateValue: Double
+)
+
+/** A time in which the rate of each kind is multiplied by its factor; 1 if it has none. */
+internal data class LoadPhase(val durationMs: Double, val factors: Map<String, Double>)
+
+/** Results of one kind: the value offered and earned, and numbers of requests by outcome. */
+internal class KindResults {
+    var offeredValue = 0.0
+    var earnedValue = 0.0
+    var arrivals = 0
+    var inTime = 0
+    var lateFirst = 0
+    var latePause = 0
+    var unserved = 0
+    val share: Double get() = if (offeredValue == 0.0) 1.0 else earnedValue / offeredValue
+}
+
+/** A deployment whose engines are distributed evenly over [dataCentres]. */
+internal class Deployment(
+    val dataCentres: Int = 3,
+    val gatewaysPerDataCentre: Int = 1,
+    val engines: Int = 16,
+    val profile: EngineProfile = sampleProfile
+)
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -188,8 +188,7 @@
             timeout = header("X-Deadline")?.toLong()?.milliseconds,
             promptTokens = null,
             outputLimit = null,
-            expectedOutput = null,
-            resumed = false
+            expectedOutput = null
         )
     },
     attemptHeaders = { target, remaining ->
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
@@ -108,8 +108,7 @@
         timeout = 10.seconds,
         promptTokens = Tokens(promptTokens),
         outputLimit = null,
-        expectedOutput = null,
-        resumed = false
+        expectedOutput = null
     ),
     Bytes(0)
 )
--- a/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/RunningProcess.kt
+++ b/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/RunningProcess.kt
@@ -35,13 +35,6 @@
     /** Lines of the log so far that contain [text]. */
     fun logLines(text: String): List<String> = Files.readAllLines(log).filter { text in it }
 
-    /** Bytes of live objects on the heap of this Java process, after a full collection. */
-    fun liveHeapBytes(): Long {
-        val jmap = ProcessBuilder("jcmd", process.pid().toString(), "GC.class_histogram").start()
-        val total = jmap.inputReader().readLines().last { it.startsWith("Total") }
-        return total.split(Regex("\\s+"))[2].toLong()
-    }
-
     /** Last lines of the log, for messages of failed checks. */
     fun logTail(): String = Files.readAllLines(log).takeLast(TAIL_LINES)
         .joinToString("\n", prefix = "log of $name:\n") { it.take(LINE_LENGTH) }
