--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ColdShare.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ColdShare.kt
@@ -8,17 +8,14 @@
  */
 package org.gypsumroute.core.gateway
 
-import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
-import org.gypsumroute.api.Moment
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.rendezvousWeight
 
 /** Requests per second that this gateway may send to a cold endpoint; 0 if others use it. */
 internal fun coldShare(state: GatewayState, endpoint: EndpointId, rate: Double): Double {
-    // Until then, gateways that started together may not have heard of each other.
-    if (state.common.now - Moment.START < MEMBER_DISCOVERY_TIME) return 0.0
+    if (!mayKnowAllMembers(state)) return 0.0
     val others = state.exchange.members.keys
     return coldShareAmong(state.exchange.ownAddress, others, endpoint, rate)
 }
@@ -40,6 +37,3 @@
 
 /** The rest of the rate covers gateways that differ in which others they know. */
 private const val USED_RATE_SHARE = 0.9
-
-/** Gateways report twice a second, so each has heard of all others by then. */
-private val MEMBER_DISCOVERY_TIME = 2.seconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -19,6 +19,7 @@
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Metric
 import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.Moment
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
@@ -152,6 +153,10 @@
 internal val GatewayState.gatewayCount: Int
     get() = (exchange.members.keys + exchange.seeds + exchange.ownAddress).size
 
+/** Whether a gateway has run for long enough to have heard of those that started with it. */
+internal fun mayKnowAllMembers(state: GatewayState): Boolean =
+    state.common.now - Moment.START >= MEMBER_DISCOVERY_TIME
+
 private fun sendReport(state: GatewayState): Step<GatewayState> {
     val exchange = state.exchange
     val now = state.common.now
@@ -213,6 +218,9 @@
 private val REPORT_INTERVAL: Duration = 500.milliseconds
 private val MIN_REPORT_INTERVAL_PER_MEMBER: Duration = 10.milliseconds
 
+/** Gateways report twice a second, so each has heard of all others by then. */
+private val MEMBER_DISCOVERY_TIME: Duration = 2.seconds
+
 /** The work in an older report has probably ended. */
 private val LOAD_VALIDITY: Duration = 1500.milliseconds
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -52,12 +52,16 @@
 
 /**
  * Requests for a service that all gateways are expected to place within the interval of reports,
- * if each of them receives as many as this one.
+ * if each of them receives as many as this one. A gateway that just started knows neither its rate
+ * nor the others, which may all have started with it.
  */
 private fun unreportedRequests(state: GatewayState, service: ServiceId): Int {
+    if (!mayKnowAllMembers(state)) return MAX_UNREPORTED_REQUESTS
     val gateways = state.gatewayCount
     val rate = state.retryBudgets[service]?.requestRate(state.common.now) ?: 0.0
-    return (rate * gateways * minReportInterval(gateways).toSeconds()).roundToInt()
+    return (rate * gateways * minReportInterval(gateways).toSeconds())
+        .roundToInt()
+        .coerceAtMost(MAX_UNREPORTED_REQUESTS)
 }
 
 /** The load that this gateway and the reports of others put on an endpoint. */
@@ -231,6 +235,8 @@
     return (record.priority * 2 + objectiveRank).coerceIn(0, LEAST_URGENT_PRIORITY)
 }
 
+/** More than the engines of any deployment. */
+private const val MAX_UNREPORTED_REQUESTS = 1_000_000
 private const val FIRST_BYTE_LIMIT_FACTOR = 2.5
 private const val GAP_LIMIT_FACTOR = 7
 private const val LEAST_URGENT_PRIORITY = 9
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ArrivalReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ArrivalReducerTest.kt
@@ -89,6 +89,24 @@
         assertEquals("e2", harness.sends.single().target.endpoint.value)
     }
 
+    /**
+     * The pattern of all gateways that restart together: each knows nothing of the others' requests
+     * and would fill the same engines until it hears of them.
+     */
+    @Test
+    fun `a gateway that just started spreads short prompts over all engines`() {
+        val engines = (1..40).map { endpointOf("e$it", service = modelService) }
+        val started = readyHarness(*engines.toTypedArray())
+        val running = readyHarness(*engines.toTypedArray()).apply { advance(2.seconds) }
+        fun GatewayHarness.used() = (1..20).map {
+            arrive("$it", headOf("/stream/x", prompt = 5000))
+            sends.single().target.endpoint
+        }.toSet().size
+        val spread = started.used()
+        assertTrue(spread >= 12, "$spread")
+        assertTrue(running.used() <= spread / 2)
+    }
+
     /** Guards against gateways that together exceed the rate that a cold endpoint can serve. */
     @Test
     fun `a cold endpoint gets at most this gateway's share of its request rate`() {
