Do not judge an endpoint that is not read from because its caller is slow

Cause, found while reading the diff: while a caller does not read, the gateway stops reading from the endpoint, no event arrives, and the gap limit ran out. The limit starts again while reading is stopped. StalledAttemptTest fails without it.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -153,7 +153,8 @@
 
     private fun timeOut(limit: Duration) {
         if (ended) return
-        if (bytesSinceTimeout >= MIN_BYTES_PER_TIMEOUT) {
+        // While the caller reads too slowly, the endpoint is not read from and cannot be judged.
+        if (connection?.isReadingPaused == true || bytesSinceTimeout >= MIN_BYTES_PER_TIMEOUT) {
             restartTimeout()
             return
         }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -62,6 +62,9 @@
         requestWrite = channel.writeAndFlush(request)
     }
 
+    /** Whether reading is stopped because the caller reads too slowly. */
+    val isReadingPaused: Boolean get() = !channel.config().isAutoRead
+
     /** Stops reading until [resumeReading] is called, because the caller reads too slowly. */
     fun pauseReading() {
         channel.config().isAutoRead = false
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/StalledAttemptTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/StalledAttemptTest.kt
@@ -164,6 +164,22 @@
         }
     }
 
+    /** Guards against a stream that is started again elsewhere because its caller reads slowly. */
+    @Test
+    fun `a stream whose caller does not read is not reported`() {
+        val event = "id: 1\ndata: ${"x".repeat(60_000)}\n\n"
+        val endpoint = fixture.endpoint {
+            it.readMessage()
+            it.write(streamHeadFor("1"))
+            repeat(1000) { _ -> it.write(chunk(event)) }
+        }
+        fixture.call(get("1"))
+        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+        fixture.send(arrived, endpoint.address, streaming = true, gapLimit = 300.milliseconds)
+        assertIs<ForwardEvent.StreamBegun>(fixture.nextEvent())
+        assertTrue(fixture.hasNoEvent(1500.milliseconds))
+    }
+
     private fun nextWithoutStalls(): ForwardEvent =
         generateSequence { fixture.nextEvent<ForwardEvent>() }
             .first { it !is ForwardEvent.AttemptStalled }
