--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -17,7 +17,7 @@
 /**
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
  * endpoints of the published records. [drainStartedAt] is the time at which a planned stop began,
- * or null; [refusingNew] tells whether the gateway has stopped accepting connections.
+ * or null; [refusingNew] tells whether new requests are refused because of it.
  */
 data class GatewayState(
     override val common: CommonState,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
@@ -46,9 +46,10 @@
 private fun accept(state: GatewayState, record: ForwardRecord): Step<GatewayState> {
     val budget = state.retryBudgets[record.service] ?: RetryBudget()
     val now = state.common.now
+    val counted = budget.withRequest(now, state.bounds.retryWindow)
     val accepted = state.copy(
         requests = state.requests.put(record.request, record),
-        retryBudgets = state.retryBudgets.put(record.service, budget.withRequest(now))
+        retryBudgets = state.retryBudgets.put(record.service, counted)
     )
     val deadline =
         RuntimeEffect.SetTimer(TimerId.ForwardDeadline(record.request), record.deadline - now)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryBudget.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryBudget.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
 import org.gypsumroute.api.Moment
 
 /**
@@ -17,11 +18,13 @@
     /** Requests and retries in the second that begins at [startedAt]. */
     data class SecondCount(val startedAt: Moment, val requests: Int, val retries: Int)
 
-    /** Counts a request that arrived from a caller. */
-    fun withRequest(now: Moment): RetryBudget = add(now, requests = 1, retries = 0)
+    /** Counts a request that arrived from a caller. Seconds before [window] are forgotten. */
+    fun withRequest(now: Moment, window: Duration): RetryBudget =
+        keptSince(now, window).add(now, requests = 1, retries = 0)
 
-    /** Counts a request that was sent again. */
-    fun withRetry(now: Moment): RetryBudget = add(now, requests = 0, retries = 1)
+    /** Counts a request that was sent again. Seconds before [window] are forgotten. */
+    fun withRetry(now: Moment, window: Duration): RetryBudget =
+        keptSince(now, window).add(now, requests = 0, retries = 1)
 
     /** Whether one more retry stays within the limit over [window]. */
     fun allows(now: Moment, window: Duration, ratio: Double, allowance: Double): Boolean {
@@ -47,12 +50,17 @@
             )
             return RetryBudget(seconds.set(seconds.size - 1, next))
         }
-        val kept = if (seconds.size < MAX_WINDOW_SECONDS) seconds else seconds.removeAt(0)
-        return RetryBudget(kept.add(SecondCount(now, requests, retries)))
+        return RetryBudget(seconds.add(SecondCount(now, requests, retries)))
+    }
+
+    /** A second that began before the window may lie partly in it. */
+    private fun keptSince(now: Moment, window: Duration): RetryBudget {
+        val kept = maxOf(window, RATE_SECONDS.seconds) + 1.seconds
+        val expired = seconds.takeWhile { now - it.startedAt > kept }.size
+        return if (expired == 0) this else RetryBudget(seconds.drop(expired).toPersistentList())
     }
 
     private companion object {
-        const val MAX_WINDOW_SECONDS = 64
         const val RATE_SECONDS = 2
     }
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -128,7 +128,7 @@
         retryBudgets = if (record.sendCount == 0) {
             state.retryBudgets
         } else {
-            state.retryBudgets.put(record.service, budget.withRetry(now))
+            state.retryBudgets.put(record.service, budget.withRetry(now, state.bounds.retryWindow))
         },
         nextAttempt = state.nextAttempt + 1
     )
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RetryBudgetTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RetryBudgetTest.kt
@@ -2,8 +2,10 @@
 
 import kotlin.random.Random
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
@@ -29,10 +31,10 @@
             now += random.nextInt(MAX_STEP_MS).milliseconds
             val gateway = random.nextInt(gateways)
             if (random.nextInt(100) < 60) {
-                budgets[gateway] = budgets[gateway].withRequest(now)
+                budgets[gateway] = budgets[gateway].withRequest(now, 2.seconds)
                 requests += now
             } else if (budgets[gateway].allows(now, 2.seconds, RATIO, ALLOWANCE / gateways)) {
-                budgets[gateway] = budgets[gateway].withRetry(now)
+                budgets[gateway] = budgets[gateway].withRetry(now, 2.seconds)
                 retries += now
             }
         }
@@ -52,13 +54,29 @@
         var granted = 0
         repeat(20) {
             if (budget.allows(Moment.START, 2.seconds, RATIO, 5.0)) {
-                budget = budget.withRetry(Moment.START)
+                budget = budget.withRetry(Moment.START, 2.seconds)
                 granted++
             }
         }
         assertTrue(granted == 5)
     }
 
+    /** Guards against retries that are forgotten before the window that they count in is over. */
+    @Test
+    fun `retries count for the whole of a long window`() {
+        val window = 5.minutes
+        var budget = RetryBudget()
+        var granted = 0
+        repeat(299) { second ->
+            val now = Moment.START + second.seconds
+            if (budget.allows(now, window, RATIO, 10.0)) {
+                budget = budget.withRetry(now, window)
+                granted++
+            }
+        }
+        assertEquals(10, granted)
+    }
+
     private companion object {
         const val STEPS = 400
         const val MAX_STEP_MS = 200
