Make the test of long retry windows fail without its mechanism

As first written the test passed on the old code too, since only seconds with an event are kept and it had few. With a request in each second the old code grants 50 retries of 10; the present one 10.

--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RetryBudgetTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RetryBudgetTest.kt
@@ -69,7 +69,8 @@
         var granted = 0
         repeat(299) { second ->
             val now = Moment.START + second.seconds
-            if (budget.allows(now, window, RATIO, 10.0)) {
+            budget = budget.withRequest(now, window)
+            if (budget.allows(now, window, ratio = 0.0, allowance = 10.0)) {
                 budget = budget.withRetry(now, window)
                 granted++
             }
