--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/YamlFields.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/YamlFields.kt
@@ -116,13 +116,13 @@
         }
     }
 
-    private fun items(name: String, required: Boolean): List<Pair<String, YamlNode>> {
+    private fun items(name: String, required: Boolean): List<YamlItem> {
         val node = node(name)
         val field = pathOf(name)
         if (node is YamlList) {
             return node.items.mapIndexed { index, item ->
                 diagnostics.recordLine("$field[$index]", item.location.line)
-                "$field[$index]" to item
+                YamlItem("$field[$index]", item)
             }
         }
         when {
@@ -183,3 +183,6 @@
 private val DURATION = Regex("(\\d{1,9})(ms|s|m|h)")
 private val MILLISECONDS_PER_UNIT =
     mapOf("ms" to 1L, "s" to 1000L, "m" to 60_000L, "h" to 3_600_000L)
+
+/** An item of a list, with its path in the document for diagnostics. */
+private data class YamlItem(val path: String, val node: YamlNode)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/AdmissionChecks.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/AdmissionChecks.kt
@@ -37,11 +37,8 @@
     event: CallerEvent.GenerationArrived
 ): Either<Failure, Admission> = either {
     val checks = RequestChecks(state, this)
-    val (document, rule) = checks.findDocumentAndRule(
-        event.service,
-        event.keyDigest,
-        ServiceKind.GENERATION
-    )
+    val (document, rule) =
+        checks.findServiceAccess(event.service, event.keyDigest, ServiceKind.GENERATION)
     checks.ensureOrFail(event.promptTokens <= document.promptLimit, ErrorKind.PROMPT_TOO_LONG) {
         "the prompt has ${event.promptTokens} tokens; the limit is ${document.promptLimit}"
     }
@@ -70,11 +67,8 @@
     event: CallerEvent.CallArrived
 ): Either<Failure, Admission> = either {
     val checks = RequestChecks(state, this)
-    val (document, rule) = checks.findDocumentAndRule(
-        event.service,
-        event.keyDigest,
-        ServiceKind.PLAIN
-    )
+    val (document, rule) =
+        checks.findServiceAccess(event.service, event.keyDigest, ServiceKind.PLAIN)
     val notRepeatable = event.path in document.actions.notRepeatable
     checks.ensureOrFail(!notRepeatable || event.actionKey != null, ErrorKind.ACTION_KEY_MISSING) {
         "calls of ${event.path} need an action key issued for this service"
@@ -107,11 +101,8 @@
     event: CallerEvent.ActionKeyWanted
 ): Either<Failure, Admission> = either {
     val checks = RequestChecks(state, this)
-    val (document, rule) = checks.findDocumentAndRule(
-        event.service,
-        event.keyDigest,
-        ServiceKind.PLAIN
-    )
+    val (document, rule) =
+        checks.findServiceAccess(event.service, event.keyDigest, ServiceKind.PLAIN)
     val timeout = checks.resolveTimeout(document, event.timeout)
     checks.limitOpenRequests(document, rule)
     val lengthClass = lengthClassOf(document, Tokens.ZERO).name
@@ -138,16 +129,15 @@
     return Failure(kind, detail, runState, retryAfter.takeIf { kind.retry == RetryAdvice.LATER })
 }
 
+/** A service, and what its document allows the organisation that holds the request's key. */
+private data class ServiceAccess(val document: ServiceDocument, val rule: OrganisationRule)
+
 /** Checks that several kinds of requests have in common; each raises a failure. */
 private class RequestChecks(private val state: EntryState, private val raise: Raise<Failure>) {
     fun ensureOrFail(condition: Boolean, kind: ErrorKind, detail: () -> String) =
         raise.ensure(condition) { failureWithRetryAdvice(state, kind, detail()) }
 
-    fun findDocumentAndRule(
-        service: ServiceId,
-        keyDigest: String,
-        kind: ServiceKind
-    ): Pair<ServiceDocument, OrganisationRule> {
+    fun findServiceAccess(service: ServiceId, keyDigest: String, kind: ServiceKind): ServiceAccess {
         val document = raise.ensureNotNull(state.common.documents.inForce(service)) {
             failureWithRetryAdvice(state, ErrorKind.SERVICE_UNKNOWN, "no service named $service")
         }
@@ -161,7 +151,7 @@
         ensureOrFail(document.kind == kind, ErrorKind.SERVICE_KIND_MISMATCH) {
             "$service is of kind ${document.kind.name.lowercase()}"
         }
-        return document to rule
+        return ServiceAccess(document, rule)
     }
 
     fun resolveTimeout(document: ServiceDocument, requested: Duration?): Duration {
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallRoutes.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallRoutes.kt
@@ -22,25 +22,10 @@
 ) {
     /** `POST /v1/services/{service}/calls/{path}`. */
     suspend fun serveCall(call: ApplicationCall, exchange: Exchange, headers: CallerHeaders) {
-        val request = exchange.request
-        events(CallerEvent.Opened(request, headers.keyDigest, headers.declaredBytes))
-        val accepted = exchange.bodyAccepted.await()
-        if (accepted is Either.Left) return respondFailure(call, exchange, accepted.value)
-        val uploadTimeout = headers.timeout ?: settings.defaultUploadTimeout
-        exchange.body = when (val read = readBody(call, settings.maxBodyBytes, uploadTimeout)) {
-            is Either.Left -> return rejectRequest(
-                call,
-                exchange,
-                events,
-                read.value,
-                bodyErrorDetail(settings)
-            )
-
-            is Either.Right -> read.value
-        }
+        exchange.body = receiveBody(call, exchange, headers, settings, events) ?: return
         events(
             CallerEvent.CallArrived(
-                request = request,
+                request = exchange.request,
                 service = serviceOf(call),
                 keyDigest = headers.keyDigest,
                 path = "/" + call.parameters.getAll("path").orEmpty().joinToString("/"),
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CompletionRoute.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CompletionRoute.kt
@@ -25,22 +25,7 @@
     private val events: EventSink
 ) {
     suspend fun serve(call: ApplicationCall, exchange: Exchange, headers: CallerHeaders) {
-        val request = exchange.request
-        events(CallerEvent.Opened(request, headers.keyDigest, headers.declaredBytes))
-        val accepted = exchange.bodyAccepted.await()
-        if (accepted is Either.Left) return respondFailure(call, exchange, accepted.value)
-        val uploadTimeout = headers.timeout ?: settings.defaultUploadTimeout
-        val body = when (val read = readBody(call, settings.maxBodyBytes, uploadTimeout)) {
-            is Either.Left -> return rejectRequest(
-                call,
-                exchange,
-                events,
-                read.value,
-                bodyErrorDetail(settings)
-            )
-
-            is Either.Right -> read.value
-        }
+        val body = receiveBody(call, exchange, headers, settings, events) ?: return
         val completion = when (val decoded = decodeCompletion(body)) {
             is Either.Left ->
                 return rejectRequest(
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/RequestBody.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/RequestBody.kt
@@ -11,10 +11,36 @@
 import kotlin.time.Duration
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.readByteArray
+import org.gypsumroute.api.CallerEvent
 import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.entry.Exchange
+import org.gypsumroute.runtime.EventSink
+
+/**
+ * Announces a request to the reducer and receives its body once that is accepted. Returns null if
+ * the caller was answered with a failure instead.
+ */
+internal suspend fun receiveBody(
+    call: ApplicationCall,
+    exchange: Exchange,
+    headers: CallerHeaders,
+    settings: CallersHttpSettings,
+    events: EventSink
+): ByteArray? {
+    events(CallerEvent.Opened(exchange.request, headers.keyDigest, headers.declaredBytes))
+    val accepted = exchange.bodyAccepted.await()
+    if (accepted is Either.Left) {
+        respondFailure(call, exchange, accepted.value)
+        return null
+    }
+    val timeout = headers.timeout ?: settings.defaultUploadTimeout
+    val body = readBody(call, settings.maxBodyBytes, timeout)
+    body.onLeft { rejectRequest(call, exchange, events, it, bodyErrorDetail(settings)) }
+    return body.getOrNull()
+}
 
 /** Reads the body; fails if it is longer than [maxBytes] or not complete within [timeout]. */
-internal suspend fun readBody(
+private suspend fun readBody(
     call: ApplicationCall,
     maxBytes: Long,
     timeout: Duration
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/SlidingWindowCounter.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/SlidingWindowCounter.kt
@@ -21,9 +21,9 @@
     }
 
     /** Number of good and of bad requests in the window that ends at [elapsed]. */
-    fun counts(elapsed: Duration): Pair<Long, Long> {
+    fun counts(elapsed: Duration): RequestCounts {
         advance(elapsed)
-        return good.sum() to bad.sum()
+        return RequestCounts(good.sum(), bad.sum())
     }
 
     private fun advance(elapsed: Duration) {
@@ -41,3 +41,6 @@
         }
     }
 }
+
+/** Requests that met their objective, and those that did not. */
+internal data class RequestCounts(val good: Long, val bad: Long)
--- a/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/EngineSimulationReducer.kt
+++ b/gypsumroute-test/src/main/kotlin/org/gypsumroute/test/EngineSimulationReducer.kt
@@ -208,9 +208,9 @@
         if (stream.progress.producedTokens == 0) {
             next = next.withCachedBlocks(stream.blockDigests, at)
         }
-        val (after, progress) = decodeOne(next, stream)
-        next = after
-        effects += ShowProgress(stream.id, progress)
+        val decoded = decodeOne(next, stream)
+        next = decoded.state
+        effects += ShowProgress(stream.id, decoded.progress)
     }
     return EngineSimulationStep(
         next.withoutOldestEndedStreams(),
@@ -218,10 +218,10 @@
     )
 }
 
-private fun decodeOne(
-    state: EngineSimulation,
-    stream: SimulatedStream
-): Pair<EngineSimulation, StreamProgress> {
+/** The engine's state after one step of a stream, and the progress of that stream. */
+private data class DecodedStep(val state: EngineSimulation, val progress: StreamProgress)
+
+private fun decodeOne(state: EngineSimulation, stream: SimulatedStream): DecodedStep {
     if (stream.export) {
         val handle = "kv-${state.startId}-${state.handleCounter}"
         val outcome = StreamOutcome.Exported(handle, stream.promptTokens)
@@ -230,7 +230,7 @@
             handles = state.handles + (handle to stream.promptTokens),
             handleCounter = state.handleCounter + 1
         )
-        return next.withEndedStream(stream.id, progress) to progress
+        return DecodedStep(next.withEndedStream(stream.id, progress), progress)
     }
     val producedTokens = minOf(stream.progress.producedTokens + 1, stream.outputLimit)
     val ended = producedTokens >= stream.outputLimit
@@ -238,9 +238,9 @@
     val progress = stream.progress.copy(producedTokens = producedTokens, outcome = outcome)
     val running = stream.copy(progress = progress)
     return if (ended) {
-        state.withEndedStream(stream.id, progress) to progress
+        DecodedStep(state.withEndedStream(stream.id, progress), progress)
     } else {
-        state.copy(streams = state.streams + (stream.id to running)) to progress
+        DecodedStep(state.copy(streams = state.streams + (stream.id to running)), progress)
     }
 }
 
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/PeerTransport.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/PeerTransport.kt
@@ -64,7 +64,7 @@
     /** Opens a connection. `PeerReceiver.onConnected` may be called before this returns. */
     suspend fun connect(address: String, port: Int): Either<PeerTransportError, PeerConnection> =
         openSocket(address, port).flatMap { socket ->
-            performHandshake(socket, HandshakeSide.CONNECTING).map { it.first }
+            performHandshake(socket, HandshakeSide.CONNECTING).map { it.connection }
         }
 
     /**
@@ -140,14 +140,14 @@
         val remote = socket.remoteAddress.toString()
         performHandshake(socket, HandshakeSide.LISTENING).fold(
             { onHandshakeFailed(remote, it) },
-            { (_, job) -> job.join() }
+            { it.job.join() }
         )
     }
 
     private suspend fun performHandshake(
         socket: Socket,
         side: HandshakeSide
-    ): Either<PeerTransportError, Pair<PeerConnection, Job>> {
+    ): Either<PeerTransportError, StartedConnection> {
         val channel = FrameChannel(socket)
         var established = false
         try {
@@ -169,13 +169,13 @@
         PeerTransportError.HandshakeRefused("the peer closed the connection").left()
     }
 
-    private fun startConnection(peer: PeerHello, channel: FrameChannel): Pair<PeerConnection, Job> {
+    private fun startConnection(peer: PeerHello, channel: FrameChannel): StartedConnection {
         val id = ConnectionId(connectionIds.incrementAndGet())
         val connection =
             SocketPeerConnection(id, peer, channel, receiver, counters, settings)
         val job = connection.start(scope)
         openConnections.add(connection, job)
-        return connection to job
+        return StartedConnection(connection, job)
     }
 
     private companion object {
@@ -183,3 +183,6 @@
         val acceptRetryDelay = 100.milliseconds
     }
 }
+
+/** An open connection, and the [job] that runs until it is closed. */
+private class StartedConnection(val connection: PeerConnection, val job: Job)
