Log what is open at the end of a planned stop and what an acceptance rests on

Callers saw streams cut 7.7 s after the SIGTERM of their gateway. The log had no line at that moment, and the 4005 line of such a request did not tell how long the gateway expected it to take, nor how much time was left. 1011 names the open requests shortly before the process ends; 4005 has expected_time and stop_in. No decision changes.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
@@ -16,6 +16,7 @@
     LOG_LINES_DROPPED(1008, LogLevel.WARN, "log lines were dropped"),
     CALLERS_CLOSED(1009, LogLevel.INFO, "new requests are refused; waiting for open ones"),
     SETTING_REPLACED(1010, LogLevel.WARN, "a setting cannot be used; another value replaces it"),
+    DRAIN_EXPIRED(1011, LogLevel.WARN, "requests are open at the end of the planned stop"),
     DOCUMENT_ACCEPTED(2001, LogLevel.INFO, "service document accepted"),
     DOCUMENT_REJECTED(2002, LogLevel.WARN, "service document refused"),
     DOCUMENT_STALE(2003, LogLevel.INFO, "older service document ignored"),
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
@@ -50,6 +50,9 @@
      */
     data object DrainSettled : TimerId
 
+    /** End of the time that open requests have in a planned stop of a gateway. */
+    data object DrainEnd : TimerId
+
     /** Next renewal of memory reservations at engines. */
     data object ReservationRenewal : TimerId
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
@@ -31,7 +31,15 @@
     } else {
         state.copy(drainStartedAt = state.common.now)
             .onCommon { reduceDrainRequested(it) }
-            .then { it.step(RuntimeEffect.SetTimer(TimerId.DrainSettled, BALANCER_REACTION_TIME)) }
+            .then {
+                it.step(
+                    RuntimeEffect.SetTimer(TimerId.DrainSettled, BALANCER_REACTION_TIME),
+                    RuntimeEffect.SetTimer(
+                        TimerId.DrainEnd,
+                        state.bounds.drainTime - LAST_ANSWERS_RESERVE
+                    )
+                )
+            }
     }
 
 /**
@@ -56,6 +64,25 @@
     }
 }
 
+/** Logs the requests that are still open shortly before the process has to end. */
+internal fun reduceDrainEnd(state: GatewayState): Step<GatewayState> {
+    if (state.requests.isEmpty()) return state.step()
+    return state.step(
+        logEffect(
+            LogEvent.DRAIN_EXPIRED,
+            "requests" to state.requests.size,
+            "begun" to state.requests.values.count { it.answerStarted },
+            "caller_requests" to state.requests.values
+                .take(MAX_LISTED_REQUESTS)
+                .joinToString(" ") { it.head.callerRequestId }
+        )
+    )
+}
+
+/** Time left until the end of the planned stop, or null if none has begun. */
+internal fun timeUntilStop(state: GatewayState): Duration? =
+    state.drainStartedAt?.let { it + state.bounds.drainTime - state.common.now }
+
 /** Whether a request that arrives now is expected to end before the drain time is over. */
 internal fun canFinishBeforeStop(
     state: GatewayState,
@@ -65,16 +92,21 @@
     val since = state.drainStartedAt ?: return true
     val now = state.common.now
     if (now - since <= BALANCER_REACTION_TIME) return true
+    return now + predictedTime(state, record, choice) <= since + state.bounds.drainTime
+}
+
+/** Predicted time until the end of the answer. */
+internal fun predictedTime(
+    state: GatewayState,
+    record: ForwardRecord,
+    choice: ForwardChoice
+): Duration {
     val profile = state.published.table?.services?.get(record.service)?.engine
-    val predictedTime = if (profile == null) {
-        record.route.objective
-    } else {
-        val model = EngineModel(profile)
-        val load = state.endpoints[choice.endpoint]?.ownLoad()?.context ?: 0
-        val pass = model.passTime(model.slots, load + record.size.context)
-        choice.predictedFirstByte + model.decodeTime(Tokens(record.size.output), pass)
-    }
-    return now + predictedTime <= since + state.bounds.drainTime
+        ?: return record.route.objective
+    val model = EngineModel(profile)
+    val load = state.endpoints[choice.endpoint]?.ownLoad()?.context ?: 0
+    val pass = model.passTime(model.slots, load + record.size.context)
+    return choice.predictedFirstByte + model.decodeTime(Tokens(record.size.output), pass)
 }
 
 /** Exits once new requests are refused and all others have ended. */
@@ -91,6 +123,12 @@
  */
 private val BALANCER_REACTION_TIME = 2500.milliseconds
 
+/** Time between the end of open requests and that of the process, in which answers are written. */
+private val LAST_ANSWERS_RESERVE = 300.milliseconds
+
+/** More are only counted, so that the log line stays short. */
+private const val MAX_LISTED_REQUESTS = 20
+
 /** Part of the drain time that is kept for open requests if no other gateway becomes ready. */
 private val OPEN_REQUESTS_RESERVE = 2.seconds
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -71,6 +71,7 @@
         is TimerId.ReportBeat -> reducePeriodicReport(state)
         is TimerId.ReportChange -> reduceChangeReport(state)
         is TimerId.DrainSettled -> refuseNewIfReplaced(state)
+        is TimerId.DrainEnd -> reduceDrainEnd(state)
         else -> state.step()
     }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -162,7 +162,9 @@
     "read_time" to choice.prefillTime,
     "open" to endpoint.work.size,
     "expected_first_event" to choice.predictedFirstByte,
-    "remaining" to (record.deadline - state.common.now)
+    "expected_time" to predictedTime(state, record, choice),
+    "remaining" to (record.deadline - state.common.now),
+    "stop_in" to timeUntilStop(state)
 )
 
 /** Adds the request's work to the endpoint and its helpers. */
