Log the prompt's parts and the company of an attempt whose connection is lost

The logs could not tell whether a part of a prompt, an organisation or crowding ends endpoints: a gateway did not know the parts of a prompt, and 4006 did not tell a lost connection from an unusable answer.

Outcomes of attempts say whether the endpoint's side ended the connection, and 4013 `connection_lost` names parts, organisation, endpoint and start, and what was open beside the attempt.

No decision changes with this commit.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/AttemptOutcome.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/AttemptOutcome.kt
@@ -27,9 +27,15 @@
     /** No byte of the request was written to the endpoint. */
     data class NeverSent(val cause: String) : AttemptOutcome
 
-    /** The endpoint may have run the request; no part of an answer was relayed. */
-    data class Lost(val cause: String) : AttemptOutcome
+    /**
+     * The endpoint may have run the request; no part of an answer was relayed. [connectionLost]
+     * tells whether the endpoint's side closed or reset the connection.
+     */
+    data class Lost(val cause: String, val connectionLost: Boolean = false) : AttemptOutcome
 
-    /** The answer broke off after a part of it was relayed. */
-    data class Broken(val cause: String) : AttemptOutcome
+    /**
+     * The answer broke off after a part of it was relayed. [connectionLost] tells whether the
+     * endpoint's side closed or reset the connection.
+     */
+    data class Broken(val cause: String, val connectionLost: Boolean = false) : AttemptOutcome
 }
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
@@ -52,6 +52,7 @@
     MEMORY_REFUSED(4010, LogLevel.WARN, "memory could not be reserved for a request"),
     MEMORY_RELEASED(4011, LogLevel.INFO, "reserved memory released"),
     ATTEMPT_STALLED(4012, LogLevel.WARN, "an attempt is silent for longer than its limit"),
+    CONNECTION_LOST(4013, LogLevel.WARN, "an endpoint's connection was lost during a request"),
     LEASE_EXPIRED(5001, LogLevel.WARN, "lease expired; its work is cancelled"),
     ORPHAN_STREAM(5002, LogLevel.WARN, "engine holds a stream without a lease; cancelling it"),
     ORPHAN_HANDLE(5003, LogLevel.WARN, "engine holds a cache handle without a lease; releasing it"),
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/RequestHead.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/RequestHead.kt
@@ -7,7 +7,8 @@
  *
  * [callerRequestId] is the id that the caller gave the request. [timeout] is how long the caller
  * waits for the answer. [timeout], [promptTokens], [outputLimit] and [expectedOutput] are null if
- * the caller did not state them.
+ * the caller did not state them. [promptParts] are the parts of the prompt, in order, that other
+ * requests may have too.
  */
 data class RequestHead(
     val callerRequestId: String,
@@ -17,5 +18,6 @@
     val timeout: Duration?,
     val promptTokens: Tokens?,
     val outputLimit: Tokens?,
-    val expectedOutput: Tokens?
+    val expectedOutput: Tokens?,
+    val promptParts: List<PromptPartId> = emptyList()
 )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -53,6 +53,7 @@
     }
     return released
         .step(attemptLog(record, attempt.endpoint, outcome), countAttempt(record, outcome))
+        .then { if (outcome.connectionLost) noteConnectionLost(it, record, attempt) else it.step() }
         .then { next ->
             if (attempt == record.stalledAttempt) {
                 val replaced = record.withoutAttempt(attempt)
@@ -179,6 +180,13 @@
     else -> true
 }
 
+private val AttemptOutcome.connectionLost: Boolean
+    get() = when (this) {
+        is AttemptOutcome.Lost -> connectionLost
+        is AttemptOutcome.Broken -> connectionLost
+        else -> false
+    }
+
 private fun causeOf(outcome: AttemptOutcome): String = when (outcome) {
     is AttemptOutcome.Completed -> "completed"
     is AttemptOutcome.Failed -> "endpoint answered ${outcome.status}"
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
@@ -76,5 +76,14 @@
     val confirmed: Boolean = false
 )
 
-/** The attempt in progress at [endpoint]; [helpers] read parts of the prompt. */
-data class Attempt(val id: AttemptId, val endpoint: EndpointId, val helpers: List<EndpointId>)
+/**
+ * An attempt at [endpoint], sent at [sentAt] to the start of it that [startStamp] names. [helpers]
+ * read parts of the prompt.
+ */
+data class Attempt(
+    val id: AttemptId,
+    val endpoint: EndpointId,
+    val helpers: List<EndpointId>,
+    val sentAt: Moment,
+    val startStamp: Long?
+)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -115,7 +115,13 @@
 ): Step<GatewayState> {
     val now = state.common.now
     val endpoint = state.endpoints.getValue(choice.endpoint)
-    val attempt = Attempt(AttemptId(state.nextAttempt), choice.endpoint, choice.helpers)
+    val attempt = Attempt(
+        AttemptId(state.nextAttempt),
+        choice.endpoint,
+        choice.helpers,
+        sentAt = now,
+        startStamp = endpoint.record.startStamp
+    )
     val sent = record.copy(
         attempt = attempt,
         sendCount = record.sendCount + 1,
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -99,11 +99,20 @@
         finish(responseReader?.complete() ?: AttemptOutcome.Lost("no answer"))
     }
 
-    /** Called when the connection failed before the response was complete. */
-    fun connectionLost(cause: String) {
+    /**
+     * Called when the connection failed before the response was complete. [connectionLost] tells
+     * whether the endpoint's side ended it.
+     */
+    fun responseBrokenOff(cause: String, connectionLost: Boolean) {
         if (ended) return
         val deliveryStarted = responseReader?.deliveryStarted == true
-        finish(if (deliveryStarted) AttemptOutcome.Broken(cause) else AttemptOutcome.Lost(cause))
+        finish(
+            if (deliveryStarted) {
+                AttemptOutcome.Broken(cause, connectionLost)
+            } else {
+                AttemptOutcome.Lost(cause, connectionLost)
+            }
+        )
     }
 
     /** Restarts the time limit; called after the head and after complete events of a stream. */
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -104,14 +105,14 @@
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         failure = cause.javaClass.simpleName
-        attempt?.let { fail(it, "connection failed: ${cause.message}") }
+        attempt?.let { fail(it, "connection failed: ${cause.message}", cause is IOException) }
         channel.close()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         idleTimeout?.cancel(false)
         connections.remove(this)
-        attempt?.let { fail(it, "connection closed") }
+        attempt?.let { fail(it, "connection closed", connectionLost = true) }
     }
 
     private fun readHead(current: EndpointAttempt, response: HttpResponse) {
@@ -173,11 +174,11 @@
         current.responseComplete()
     }
 
-    private fun fail(current: EndpointAttempt, cause: String) {
+    private fun fail(current: EndpointAttempt, cause: String, connectionLost: Boolean = false) {
         attempt = null
         failure = failure ?: cause
         channel.close()
-        current.connectionLost(cause)
+        current.responseBrokenOff(cause, connectionLost)
     }
 
     private var keepAliveTime: Duration = DEFAULT_KEEP_ALIVE
