Refuse new requests in a planned stop after 2.5 s, whether or not another gateway is ready

Cause: if no other gateway was ready, a stopping one went on taking requests until 2 s before its end, and took what it predicted to end in time. A prediction cannot carry that promise.

Now new requests are refused once the balancer had its time, and a gateway exits as soon as its open requests have ended, so it is also back earlier. The prediction is only logged.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
@@ -64,9 +64,6 @@
                     "no endpoint may take the request"
                 )
 
-            !canFinishBeforeStop(next, record, choice) ->
-                endWithError(next, record, ErrorKind.DRAINING, "would not end before the stop")
-
             else -> reserveOrSend(next, record, choice)
         }
     }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -70,8 +70,8 @@
         is TimerId.ReservationRenewal -> renewReservations(state)
         is TimerId.ReportBeat -> reducePeriodicReport(state)
         is TimerId.ReportChange -> reduceChangeReport(state)
-        is TimerId.DrainSettled -> refuseNewIfReplaced(state)
-        is TimerId.DrainEnd -> reduceDrainEnd(state)
+        is TimerId.DrainSettled -> refuseNew(state)
+        is TimerId.DrainEnd -> endOpenRequests(state)
         else -> state.step()
     }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -18,6 +18,7 @@
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Step
+import org.gypsumroute.api.Tokens
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.logEffect
 
@@ -167,6 +168,20 @@
     "stop_in" to timeUntilStop(state)
 )
 
+/** Predicted time until the end of the answer; no decision depends on it. */
+private fun predictedTime(
+    state: GatewayState,
+    record: ForwardRecord,
+    choice: ForwardChoice
+): Duration {
+    val profile = state.published.table?.services?.get(record.service)?.engine
+        ?: return record.route.objective
+    val model = EngineModel(profile)
+    val load = state.endpoints[choice.endpoint]?.ownLoad()?.context ?: 0
+    val pass = model.passTime(model.slots, load + record.size.context)
+    return choice.predictedFirstByte + model.decodeTime(Tokens(record.size.output), pass)
+}
+
 /** Adds the request's work to the endpoint and its helpers. */
 private fun endpointsWithWork(
     state: GatewayState,
