Answer the open requests of a planned stop before the process ends

Callers saw connections closed without an answer at the end of a gateway's drain time: the process simply ended with everything that was open.

Now the control state ends them itself, 0.3 s before that: a request without an answer gets 504 with run state unknown (new kind drain_expired), since it may have run; a held failure of an endpoint is passed on; only an answer that has started is cut, and not earlier than that. The end is fixed when the stop begins, so settings that change meanwhile do not move it beyond the process's own limit.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ErrorKind.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ErrorKind.kt
@@ -47,6 +47,7 @@
     NOT_READY("not_ready", 503, NOT_RUN, LATER),
     DEADLINE_UNREACHABLE("deadline_unreachable", 503, NOT_RUN, LATER),
     DEADLINE_EXCEEDED("deadline_exceeded", 504, UNKNOWN, CALLER_DECIDES),
+    DRAIN_EXPIRED("drain_expired", 504, UNKNOWN, CALLER_DECIDES),
     LEASE_EXPIRED("lease_expired", 503, UNKNOWN, CALLER_DECIDES),
     ENDPOINT_LOST("endpoint_lost", 502, UNKNOWN, CALLER_DECIDES),
     ENGINE_FAILED("engine_failed", 502, RAN, CALLER_DECIDES),
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
@@ -4,12 +4,14 @@
  * reset connections that callers have opened already.
  *
  * The gateway refuses new requests also if no other one is ready: the earlier it stops taking them,
- * the earlier it is back.
+ * the earlier it is back. Requests that are still open shortly before the process has to end get
+ * their answer from the gateway, since the end of the process would cut them off without one.
  */
 package org.gypsumroute.core.gateway
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.RuntimeEffect
@@ -21,6 +23,7 @@
 import org.gypsumroute.core.reduceDrainRequested
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 /**
  * Begins a planned stop. The load balancer needs some time to notice that the gateway is not
@@ -54,7 +57,7 @@
         ForwardEffect.CloseIdleCallers
     )
 
-/** Logs the requests that are still open shortly before the process has to end. */
+/** Ends the requests that are still open shortly before the process has to end. */
 internal fun endOpenRequests(state: GatewayState): Step<GatewayState> {
     val open = state.requests.values
     if (open.isEmpty()) return state.step()
@@ -66,7 +69,20 @@
             "caller_requests" to open.take(MAX_LISTED_REQUESTS)
                 .joinToString(" ") { it.head.callerRequestId }
         )
-    )
+    ).thenEach(open.toList()) { next, record -> endBeforeStop(next, record) }
+}
+
+private fun endBeforeStop(state: GatewayState, record: ForwardRecord): Step<GatewayState> {
+    val mayHaveRun = record.mayHaveRun || record.openAttempts.isNotEmpty()
+    val ended = record.copy(mayHaveRun = mayHaveRun)
+    return when {
+        ended.failureAnswerHeld && !ended.answerStarted ->
+            endWithHeldFailure(state, ended, "the gateway stops")
+
+        mayHaveRun -> endWithError(state, ended, ErrorKind.DRAIN_EXPIRED, "the gateway stops")
+
+        else -> endWithError(state, ended, ErrorKind.DRAINING, "the gateway stops")
+    }
 }
 
 /** Time left until open requests end because of a planned stop, or null if none has begun. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayDrainTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayDrainTest.kt
@@ -125,6 +125,60 @@
         assertTrue(exit in harness.advance(1100.milliseconds))
     }
 
+    /** The end of the process closed the connections of such requests without an answer. */
+    @Test
+    fun `a request without an answer gets one before the process has to end`() {
+        val harness = drainingHarness()
+        assertEquals(emptyList(), harness.apply { advance(5600.milliseconds) }.refusals)
+        harness.advance(200.milliseconds)
+        val failure = harness.refusals.single().failure
+        assertEquals(504, failure.kind.httpStatus)
+        assertEquals(RunState.UNKNOWN, failure.runState)
+        assertTrue(exit in harness.effects)
+        assertEquals("1", harness.openAtEnd()?.get("requests"))
+        assertEquals("0", harness.openAtEnd()?.get("begun"))
+    }
+
+    /** 503 would promise that a second run does no harm. */
+    @Test
+    fun `a request that must run at most once is not called not run at the end of a stop`() {
+        val harness = readyHarness(endpointOf("e1", service = modelService))
+        harness.arrive("1", headOf("/fixed/x", prompt = 100, deadline = 10.seconds))
+        harness.feed(RuntimeEvent.DrainRequested)
+        harness.advance(8.seconds)
+        assertEquals(504, harness.refusals.single().failure.kind.httpStatus)
+        assertEquals(RunState.UNKNOWN, harness.refusals.single().failure.runState)
+    }
+
+    @Test
+    fun `an answer that has started goes on until just before the process has to end`() {
+        val harness = drainingHarness()
+        harness.beginStream("1")
+        assertEquals(emptyList(), harness.apply { advance(5600.milliseconds) }.cuts())
+        harness.advance(200.milliseconds)
+        assertEquals(listOf(ForwardEffect.Cut(RequestId("1"))), harness.cuts())
+        assertTrue(exit in harness.effects)
+        assertEquals("1", harness.openAtEnd()?.get("begun"))
+    }
+
+    /** The settings are read again every second and on SIGHUP. */
+    @Test
+    fun `settings that change during a stop do not move its end`() {
+        val harness = drainingHarness()
+        val longer = sampleBounds.copy(drainTime = 60.seconds)
+        harness.feed(SettingsEvent.Changed(longer, emptyList()))
+        harness.advance(5800.milliseconds)
+        assertEquals(1, harness.refusals.size)
+        assertTrue(exit in harness.effects)
+    }
+
+    @Test
+    fun `a second signal does not prolong the stop`() {
+        val harness = drainingHarness()
+        harness.feed(RuntimeEvent.DrainRequested)
+        assertTrue(exit in harness.advance(5800.milliseconds))
+    }
+
     @Test
     fun `a stop before the first routing table ends without ever being ready`() {
         val harness = GatewayHarness()
@@ -136,4 +190,17 @@
         assertFalse(RuntimeEffect.SetReady(true) in harness.effects)
         assertTrue(exit in harness.advance(2600.milliseconds))
     }
+
+    /** With a short grace time, requests were served until the process was killed. */
+    @Test
+    fun `a short drain time leaves most of it to open requests`() {
+        val harness = GatewayHarness(sampleBounds.copy(drainTime = 900.milliseconds))
+        harness.feed(RuntimeEvent.Started)
+        harness.feedSnapshot(sampleTable, listOf(endpointOf("e1", service = modelService)))
+        harness.arrive("1", headOf("/stream/x", prompt = 100))
+        harness.feed(RuntimeEvent.DrainRequested)
+        assertTrue(ForwardEffect.CloseIdleCallers in harness.advance(310.milliseconds))
+        assertEquals(emptyList(), harness.apply { advance(500.milliseconds) }.refusals)
+        assertEquals(1, harness.apply { advance(80.milliseconds) }.refusals.size)
+    }
 }
