Start no attempt late in a planned stop that may outlast it

A request that was accepted in time could be sent to its endpoint seconds after SIGTERM: when the memory reserved for it was confirmed late, or as a second attempt after a failure or a silence. Its answer was then cut at the end of the stop like that of a new request.

Once new requests are refused, an attempt only starts if the request's own deadline comes before the end of the stop; requests that still wait for memory are refused as not run at once. A stream that has started may still be resumed, since the alternative is to cut it off immediately.

Tests: second attempt, silent attempt and waiting for memory failed on with a Send, the last one without a refusal.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -109,7 +109,8 @@
     val repetition = record.route.repetition
     val safeToRunAgain = !record.mayHaveRun || repetition != Repetition.AT_MOST_ONCE
     val answerAllowsRetry = !record.answerStarted || repetition == Repetition.RESUMABLE
-    return safeToRunAgain && answerAllowsRetry && record.sendCount < record.route.maxAttempts &&
+    return safeToRunAgain && answerAllowsRetry && endsBeforeStop(state, record) &&
+        record.sendCount < record.route.maxAttempts &&
         record.deadline - state.common.now > MIN_ATTEMPT_TIME && retryBudgetAllows(state, record)
 }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
@@ -46,16 +46,35 @@
         }
 }
 
-/** Refuses new requests from now on. */
-internal fun refuseNew(state: GatewayState): Step<GatewayState> =
-    state.copy(refusingNew = true).step(
+/**
+ * Refuses new requests from now on, and those that were accepted but still wait for memory, unless
+ * their time is over before the stop.
+ */
+internal fun refuseNew(state: GatewayState): Step<GatewayState> {
+    val refusing = state.copy(refusingNew = true)
+    val waiting = refusing.requests.values.filter {
+        it.openAttempts.isEmpty() && !endsBeforeStop(refusing, it)
+    }
+    return refusing.step(
         logEffect(
             LogEvent.CALLERS_CLOSED,
             "requests" to state.requests.size,
             "others_ready" to otherGatewayReady(state)
         ),
         ForwardEffect.CloseIdleCallers
-    )
+    ).thenEach(waiting) { next, record ->
+        endWithError(next, record, ErrorKind.DRAINING, "the gateway stops")
+    }
+}
+
+/**
+ * Whether an attempt that starts now is over before the planned stop, whatever its endpoint does.
+ * An answer that has started may go on in any case, because it would be cut off otherwise.
+ */
+internal fun endsBeforeStop(state: GatewayState, record: ForwardRecord): Boolean {
+    val drainEndsAt = state.drainEndsAt ?: return true
+    return !state.refusingNew || record.answerStarted || record.deadline <= drainEndsAt
+}
 
 /** Ends the requests that are still open shortly before the process has to end. */
 internal fun endOpenRequests(state: GatewayState): Step<GatewayState> {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayDrainTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayDrainTest.kt
@@ -161,6 +161,71 @@
         assertEquals("1", harness.openAtEnd()?.get("begun"))
     }
 
+    /** A second attempt that starts late would be cut off like a new request. */
+    @Test
+    fun `a request that may outlast the stop is not sent again after new ones are refused`() {
+        val harness = engines()
+        harness.arrive("1", headOf("/stream/x", prompt = 100, deadline = 10.seconds))
+        harness.feed(RuntimeEvent.DrainRequested)
+        harness.advance(3.seconds)
+        harness.endAttempt("1", AttemptOutcome.NotRun(503, misdirected = false))
+        assertEquals(emptyList(), harness.sends)
+        assertEquals(RunState.NOT_RUN, harness.refusals.single().failure.runState)
+    }
+
+    @Test
+    fun `a request whose time is over before the stop is sent again`() {
+        val harness = engines()
+        harness.arrive("1", headOf("/stream/x", prompt = 100, deadline = 5.seconds))
+        harness.feed(RuntimeEvent.DrainRequested)
+        harness.advance(3.seconds)
+        harness.endAttempt("1", lost)
+        assertEquals(1, harness.sends.size)
+    }
+
+    @Test
+    fun `a silent attempt is not replaced by one that may outlast the stop`() {
+        val harness = engines()
+        harness.arrive("1", headOf("/stream/x", prompt = 100, deadline = 10.seconds))
+        harness.feed(RuntimeEvent.DrainRequested)
+        harness.advance(3.seconds)
+        val attempt = harness.state.requests.getValue(RequestId("1")).attempt!!.id
+        harness.feed(ForwardEvent.AttemptStalled(RequestId("1"), attempt))
+        assertEquals(emptyList(), harness.sends)
+        assertEquals(1, harness.state.requests.size)
+    }
+
+    /** The caller has a part of the answer, and the alternative is to cut it off at once. */
+    @Test
+    fun `a stream that breaks in a stop is resumed at another endpoint`() {
+        val harness = engines()
+        harness.arrive("1", headOf("/stream/x", prompt = 100, deadline = 10.seconds))
+        harness.beginStream("1")
+        harness.feed(RuntimeEvent.DrainRequested)
+        harness.advance(3.seconds)
+        harness.endAttempt("1", AttemptOutcome.Broken("connection closed"))
+        assertEquals(1, harness.sends.size)
+        assertEquals(
+            listOf(ForwardEffect.Cut(RequestId("1"))),
+            harness.apply { advance(5.seconds) }.cuts()
+        )
+    }
+
+    /** A long prompt was sent to its engines seconds after SIGTERM, when the memory was free. */
+    @Test
+    fun `a request that still waits for memory is refused as not run with the new ones`() {
+        val harness = engines()
+        harness.feed(RuntimeEvent.DrainRequested)
+        harness.advance(2400.milliseconds)
+        harness.arrive("1", headOf("/stream/x", prompt = 900_000, deadline = 10.seconds))
+        val reservations = harness.reserves().map { it.reservation }
+        assertTrue(reservations.isNotEmpty())
+        harness.advance(200.milliseconds)
+        assertEquals(RunState.NOT_RUN, harness.refusals.single().failure.runState)
+        reservations.forEach { harness.feed(ReservationEvent.Reserved(it)) }
+        assertEquals(emptyList(), harness.sends)
+    }
+
     /** The settings are read again every second and on SIGHUP. */
     @Test
     fun `settings that change during a stop do not move its end`() {
