Check planned stops at any moment of a random run

300 random sequences of events with a stop at a random step: nothing is accepted once new requests are refused, a late attempt belongs to a started answer or ends by its deadline, every request has exactly one end before the exit, a failure never follows a started answer, and the exit comes in time.

--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -76,6 +76,10 @@
         private set
     var now: Moment = Moment.START
         private set
+
+    /** Time of the first exit, or null. */
+    var exitedAt: Moment? = null
+        private set
     private val timers = LinkedHashMap<TimerId, Moment>()
     private var entropy = 0L
 
@@ -102,6 +106,7 @@
         for (effect in step.effects) {
             if (effect is RuntimeEffect.SetTimer) timers[effect.timer] = now + effect.after
             if (effect is RuntimeEffect.CancelTimer) timers.remove(effect.timer)
+            if (effect is RuntimeEffect.Exit && exitedAt == null) exitedAt = now
         }
         return step.effects
     }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPropertyTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPropertyTest.kt
@@ -31,6 +31,7 @@
 import org.gypsumroute.api.ReservationId
 import org.gypsumroute.api.Revision
 import org.gypsumroute.api.RunState
+import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 
 class GatewayPropertyTest {
@@ -39,6 +40,15 @@
         repeat(SEEDS) { seed -> RandomGatewayRun(seed).run(STEPS) }
     }
 
+    /** Requests that were open at the end of a planned stop had no answer, or a part of one. */
+    @Test
+    fun `a planned stop at any moment ends each request once, and all before the exit`() {
+        repeat(SEEDS) { seed ->
+            val drainStep = Random(seed).nextInt(STEPS)
+            RandomGatewayRun(seed, drainStep).run(STEPS)
+        }
+    }
+
     private companion object {
         const val SEEDS = 300
         const val STEPS = 400
@@ -46,7 +56,7 @@
 }
 
 /** One random sequence of events, and a model of what callers and endpoints observe of it. */
-private class RandomGatewayRun(private val seed: Int) {
+private class RandomGatewayRun(private val seed: Int, private val drainStep: Int? = null) {
     private class ModelRequest(val repetition: Repetition, val maxSends: Int) {
         var sends = 0
         var mayHaveRun = false
@@ -55,6 +65,8 @@
         var stalledAttempt: AttemptId? = null
         var reportedAsStalled: AttemptId? = null
         var ended = false
+        var deadline: Moment? = null
+        var cameAfterRefusal = false
     }
 
     private val random = Random(seed)
@@ -66,10 +78,15 @@
     private val coldSends = HashMap<EndpointId, ArrayList<Moment>>()
     private var nextRequest = 0
     private var nextVersion = 1L
+    private var refusingNew = false
+    private var drainedAt: Moment? = null
+    private var pausedInDrain = false
+    private var exits = 0
 
     fun run(steps: Int) {
         verifyEffects(harness.feed(RuntimeEvent.Started))
-        repeat(steps) {
+        repeat(steps) { step ->
+            if (step == drainStep) startDrain()
             verifyEffects(randomEvent())
             if (random.nextInt(3) == 0) {
                 verifyEffects(harness.advance(random.nextInt(0, 400).milliseconds))
@@ -80,6 +97,12 @@
         check(requests.values.all { it.ended }, "a request has not ended")
         check(reserved.isEmpty(), "memory stays reserved: $reserved")
         check(harness.state.endpoints.values.all { it.work.isEmpty() }, "endpoints still have work")
+        check(exits == if (drainStep == null) 0 else 1, "$exits exits")
+    }
+
+    private fun startDrain() {
+        drainedAt = harness.now
+        verifyEffects(harness.feed(RuntimeEvent.DrainRequested))
     }
 
     private fun randomEvent(): List<Effect> = when (random.nextInt(23)) {
@@ -134,7 +157,10 @@
         if (route != null) arrivals += harness.now
         val prompt = listOf(100L, 5_000L, 210_000L, 900_000L).random(random)
         val head = headOf(path, prompt = prompt, deadline = random.nextInt(1, 12_000).milliseconds)
-        return harness.arrive(id.value, head)
+        return harness.arrive(id.value, head).also {
+            requests.getValue(id).deadline = harness.state.requests[id]?.deadline
+            requests.getValue(id).cameAfterRefusal = refusingNew
+        }
     }
 
     private fun endAttempt(): List<Effect> {
@@ -260,6 +286,7 @@
     private fun pause(): List<Effect> {
         if (random.nextInt(4) != 0) return emptyList()
         harness.pause(random.nextInt(1, 20).seconds)
+        if (drainedAt != null) pausedInDrain = true
         return harness.readClock()
     }
 
@@ -307,6 +334,10 @@
 
                 is ReservationEffect.Release -> reserved -= effect.reservation
 
+                is ForwardEffect.CloseIdleCallers -> refusingNew = true
+
+                is RuntimeEffect.Exit -> verifyExit()
+
                 else -> Unit
             }
         }
@@ -325,6 +356,7 @@
             request.stalledAttempt = open
             request.mayHaveRun = true
         }
+        verifySendInDrain(request)
         val mayRunAgain = request.repetition != Repetition.AT_MOST_ONCE
         check(mayRunAgain || !request.mayHaveRun, "sent again though it may have run")
         check(
@@ -341,6 +373,27 @@
         checkEndpoint(effect.target.endpoint)
     }
 
+    /** An attempt that starts late in a planned stop has to be over before its end. */
+    private fun verifySendInDrain(request: ModelRequest) {
+        if (!refusingNew) return
+        check(!request.cameAfterRefusal, "accepted after the refusal of new requests began")
+        val drainEnd = drainedAt!! + sampleBounds.drainTime
+        check(
+            request.answerStarted || request.deadline!! <= drainEnd,
+            "sent late in a planned stop, with time beyond its end"
+        )
+    }
+
+    private fun verifyExit() {
+        exits++
+        check(requests.values.all { it.ended }, "open at the exit")
+        val exitedAt = harness.exitedAt!!
+        check(
+            pausedInDrain || exitedAt < drainedAt!! + sampleBounds.drainTime,
+            "exit only ${exitedAt - drainedAt!!} after the start of the stop"
+        )
+    }
+
     private fun checkEndpoint(id: EndpointId) {
         val endpoint = harness.state.endpoints[id] ?: fail("seed $seed: sent to a removed endpoint")
         val record = endpoint.record
