--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -121,9 +121,17 @@
             finish(AttemptOutcome.NeverSent("the time of the request is over"))
             return
         }
+        val request = try {
+            requestFor(remaining)
+        } catch (exception: IllegalArgumentException) {
+            // A header cannot be written. Nobody above handles it if the connection is a new one.
+            opened.close()
+            finish(AttemptOutcome.NeverSent("cannot be sent: ${exception.javaClass.simpleName}"))
+            return
+        }
         connection = opened
         startTimeout(target.firstByteLimit)
-        opened.send(this, requestFor(remaining))
+        opened.send(this, request)
     }
 
     private fun requestFor(remaining: Duration): FullHttpRequest {
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ForwardingTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ForwardingTest.kt
@@ -245,6 +245,16 @@
         assertIs<AttemptOutcome.NeverSent>(fixture.awaitAttemptEnd(arrived.request).outcome)
     }
 
+    /** Guards against an attempt without an end if its endpoint's id cannot be sent in a header. */
+    @Test
+    fun `a request that cannot be written to a new connection counts as never sent`() {
+        val endpoint = fixture.endpoint { it.readMessage() }
+        fixture.call(get("1"))
+        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+        fixture.send(arrived, endpoint.address, endpointId = "e\n1")
+        assertIs<AttemptOutcome.NeverSent>(fixture.awaitAttemptEnd(arrived.request).outcome)
+    }
+
     @Test
     fun `connecting to an address that drops packets times out`() {
         fixture.call(get("1"))
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -70,6 +70,7 @@
         arrived: ForwardEvent.Arrived,
         endpoint: EndpointAddress,
         streaming: Boolean = false,
+        endpointId: String = "e1",
         repetition: Repetition = Repetition.IDEMPOTENT,
         remaining: Duration = 5.seconds,
         firstByteLimit: Duration = 5.seconds,
@@ -81,7 +82,7 @@
                 arrived.request,
                 attempt,
                 ForwardTarget(
-                    EndpointId("e1"),
+                    EndpointId(endpointId),
                     endpoint,
                     null,
                     remaining,
