Reject a report that names a member with a port out of range

What callers would see: gateways that no longer hear of each other's load, so that they crowd the same endpoints.

Cause: the port of a member was not checked. Every gateway sends its report to the members that it has heard of; a socket address with the port 99999 throws, and the report reaches none of those after it. Members are handed on, so one such datagram reaches all gateways.

A report with such a port is rejected as a whole, like any other that no gateway sends.

The test failed before: ReportCodecTest.a report that names a member with a port out of range is rejected: -1 ==> expected: not <null>

The other new tests of the codecs passed before too: nesting and stated sizes neither overflow the stack nor the memory, and items of any key and value are handed on.

--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -87,8 +87,12 @@
     }
 )
 
-private fun addressOf(text: String) =
-    EndpointAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
+private fun addressOf(text: String): EndpointAddress {
+    val port = text.substringAfterLast(':').toInt()
+    require(port in PORTS) { "port $port is out of range" }
+    return EndpointAddress(text.substringBeforeLast(':'), port)
+}
 
+private val PORTS = 1..65_535
 private const val REPORT_VERSION: Byte = 1
 private const val HUNDREDTHS_PER_UNIT = 100.0
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/PublishedItemsCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/PublishedItemsCodecTest.kt
@@ -27,6 +27,30 @@
         }
     }
 
+    /** Guards against an answer of a peer that overflows the stack or memory of its receiver. */
+    @Test
+    fun `items that are nested deeply or state a huge size are rejected`() {
+        val nested = listOf(0x81, 0x9f, 0xa1, 0xc1).map { opening ->
+            byteArrayOf(0xbf.toByte(), 0x18, 99) + ByteArray(DEEP) { opening.toByte() }
+        }
+        val huge = byteArrayOf(0xbf.toByte(), 2, 0x9b.toByte(), 0, 0, 0, 0, 0x7f, -1, -1, -1)
+        for (body in nested + huge) {
+            assertNotNull(decodeItems(byteArrayOf(1) + deflate(body, DEEP * 2)).leftOrNull())
+        }
+    }
+
+    /** Guards against one odd item that keeps a peer from handing on all the others. */
+    @Test
+    fun `items of any key and value are handed on`() {
+        val odd = mapOf(
+            "servers/${"x".repeat(5_000)}" to ByteArray(0),
+            "servers/a\u0000\n" to ByteArray(1024 * 1024) { '['.code.toByte() },
+            "" to byteArrayOf(-1, -2)
+        )
+        val decoded = decodeItems(encodeItems(PublishedItems(Revision(7), odd))).getOrNull()
+        assertEquals(odd.keys, assertNotNull(decoded).items.keys)
+    }
+
     /** Another gateway may run another version, and its response may be truncated. */
     @Test
     fun `decoding corrupted items never throws and rejects malformed ones`() {
@@ -42,4 +66,8 @@
         assertNotNull(decodeItems(ByteArray(0)).leftOrNull())
         assertNotNull(decodeItems("nonsense".encodeToByteArray()).leftOrNull())
     }
+
+    private companion object {
+        const val DEEP = 1024 * 1024
+    }
 }
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
@@ -72,6 +72,35 @@
         assertNotNull(decodeReport(byteArrayOf(9, 1, 2)).leftOrNull())
     }
 
+    /**
+     * Guards against a gateway that stops sending its reports because one of the members that a
+     * datagram names has a port that no socket accepts.
+     */
+    @Test
+    fun `a report that names a member with a port out of range is rejected`() {
+        for (port in listOf(-1, 0, 65_536, 99_999)) {
+            val report = Random(1).report()
+                .copy(members = listOf(EndpointAddress("10.0.0.1", port)))
+            assertNotNull(decodeReport(encodeReport(report)).leftOrNull(), "$port")
+        }
+    }
+
+    /** Guards against datagrams that overflow the stack or the memory of their receiver. */
+    @Test
+    fun `a report that is nested deeply or states a huge size is rejected`() {
+        val bodies = listOf(0x81, 0x9f, 0xbf, 0xa1, 0xc1).map { opening ->
+            ByteArray(MAX_DATAGRAM) { opening.toByte() }
+        } + listOf(0x9b, 0xbb, 0x5b, 0x7b).map { opening ->
+            // A map with the field 6 of the loads, or an unknown one, of 2^31 - 1 elements.
+            byteArrayOf(0xbf.toByte(), 6, opening.toByte(), 0, 0, 0, 0, 0x7f, -1, -1, -1)
+        } + listOf(0x81, 0xa1).map { opening ->
+            byteArrayOf(0xbf.toByte(), 0x18, 99) + ByteArray(MAX_DATAGRAM) { opening.toByte() }
+        }
+        for (body in bodies) {
+            assertNotNull(decodeReport(byteArrayOf(1) + body).leftOrNull())
+        }
+    }
+
     /**
      * A gateway sends up to a hundred reports a second to every other gateway, so a report should
      * not need more than one packet of a network with an MTU of 1500 bytes.
@@ -86,4 +115,8 @@
         val report = Random(1).report().copy(loads = loads)
         assertTrue(encodeReport(report).size <= 1472, "${encodeReport(report).size} bytes")
     }
+
+    private companion object {
+        const val MAX_DATAGRAM = 16 * 1024
+    }
 }
