Take only an answer with the request's id on a kept connection

What callers saw at other operators: 'not run, try again' for requests that an endpoint had run or was running, and second runs of requests that must run at most once. A faulty endpoint wrote an earlier refusal once more on a kept connection.

Cause here: a refusal with another id was passed over, but one without an id was taken for the answer to whatever request was open. So was any other failure without an id.

On a connection that carried a request before, only the id now proves that an answer belongs to the open request. Anything else is passed over and the true answer is awaited; if the connection closes instead, the request may have run. On a new connection nothing else can be answered, so a failure without an id still counts there. A connection on which an answer was passed over is not kept: its endpoint may write one again.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -1,6 +1,6 @@
 /*
  * One connection to an endpoint. It carries one request at a time and is reused only after a
- * complete response that belonged to its request.
+ * complete response that belonged to its request, if no other response was passed over before.
  */
 package org.gypsumroute.gateway
 
@@ -33,8 +33,17 @@
     private var attempt: EndpointAttempt? = null
     private var requestWrite: ChannelFuture? = null
     private var discarding = false
+
+    /** Whether a request was sent on the connection before the current one. */
+    private var carriedEarlierRequest = false
+
+    /** Whether an answer was passed over, after which the endpoint may write more of them. */
+    private var passedOver = false
     private var informational = false
-    private var reusable = false
+    private var keepsOpen = false
+
+    /** Whether the connection may carry another request after the response to the current one. */
+    private val isReusable: Boolean get() = keepsOpen && !passedOver && channel.isActive
     private var failure: String? = null
     private var idleSince = TimeSource.Monotonic.markNow()
     private var idleTimeout: ScheduledFuture<*>? = null
@@ -56,6 +65,7 @@
     /** Sends [request] for [nextAttempt], which receives the response. */
     fun send(nextAttempt: EndpointAttempt, request: FullHttpRequest) {
         idleTimeout?.cancel(false)
+        carriedEarlierRequest = requestWrite != null
         attempt = nextAttempt
         discarding = false
         nextResponseIsBodiless = request.method().name() == "HEAD"
@@ -118,19 +128,30 @@
         informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (informational) return
         val head = codec.readResponse(response.status().code()) { response.headers()[it] }
-        val belongsToOtherRequest =
-            head.callerRequestId != null &&
-                head.callerRequestId != current.exchange.head.callerRequestId
-        val successWithoutId =
-            head.callerRequestId == null && response.status().codeClass() == HttpStatusClass.SUCCESS
-        discarding = belongsToOtherRequest || successWithoutId
-        reusable = HttpUtil.isKeepAlive(response)
+        discarding = !belongsTo(current, response, head)
+        passedOver = passedOver || discarding
+        keepsOpen = HttpUtil.isKeepAlive(response)
         keepAliveTime = keepAliveTimeOf(response)
         if (discarding) return
         head.statedLoad?.let { current.loadStated(it) }
         current.responseStarted(response, head)
     }
 
+    /**
+     * Whether the response provably answers the current request. On a kept connection, an endpoint
+     * may write its answer to an earlier request once more, so only the id of the request proves
+     * it. A failure without an id belongs to the request if no other was sent on the connection.
+     */
+    private fun belongsTo(
+        current: EndpointAttempt,
+        response: HttpResponse,
+        head: ResponseHead
+    ): Boolean {
+        val id = head.callerRequestId
+        if (id != null) return id == current.exchange.head.callerRequestId
+        return !carriedEarlierRequest && response.status().codeClass() != HttpStatusClass.SUCCESS
+    }
+
     private fun readContent(current: EndpointAttempt, content: HttpContent) {
         try {
             if (informational || discarding) {
@@ -151,7 +172,7 @@
 
     private fun finishDiscarded(current: EndpointAttempt) {
         informational = false
-        if (discarding && !reusable) fail(current, "an answer to another request")
+        if (discarding && !keepsOpen) fail(current, "an answer to another request")
         discarding = false
     }
 
@@ -159,7 +180,7 @@
     private fun finish(current: EndpointAttempt) {
         attempt = null
         // The next request must not follow one that is not completely written yet.
-        if (reusable && requestWrite?.isSuccess == true && channel.isActive) {
+        if (isReusable && requestWrite?.isSuccess == true) {
             idleSince = TimeSource.Monotonic.markNow()
             connections.addIdle(this)
             idleTimeout = channel.eventLoop().schedule(
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -18,6 +18,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 import org.gypsumroute.api.AttemptId
 import org.gypsumroute.api.CallerLimits
 import org.gypsumroute.api.EndpointAddress
@@ -98,6 +99,15 @@
         return attempt
     }
 
+    /** Waits until [endpoint] has accepted [count] connections. */
+    fun awaitConnections(endpoint: StubEndpoint, count: Int) {
+        val end = TimeSource.Monotonic.markNow() + WAIT_SECONDS.seconds
+        while (endpoint.connections.size < count) {
+            check(end.hasNotPassedNow()) { "${endpoint.connections.size} connections" }
+            Thread.sleep(5)
+        }
+    }
+
     fun awaitAttemptEnd(request: RequestId): ForwardEvent.AttemptEnded =
         nextEvent<ForwardEvent.AttemptEnded>().also { check(it.request == request) }
 
