Send a request to an address again only on a new connection

Two endpoint ids may name one address: one of them is stale, or comes from another writer. A request that the address refused for the first id may then be sent there for the second.

Cause: both attempts used the same kept connection, and both answers have the id of the request. The refusal of the first attempt, written once more, was taken for the refusal of the second, which the endpoint was running.

A request notes the addresses that it was sent to. Another attempt there opens a connection, on which no answer to the earlier attempt can come.

The test failed before: StaleRefusalTest.a request that is sent to an address again uses a new connection: expected: <2> but was: <1>

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -51,9 +51,9 @@
 
     /** Starts on an idle connection or on a new one. */
     fun start(connections: EndpointConnections) {
-        val maxIdle =
-            if (target.repetition == Repetition.AT_MOST_ONCE) MAX_IDLE_AT_MOST_ONCE else MAX_IDLE
-        val idleConnection = connections.takeIdle(target.address, maxIdle)
+        val isFirstThere = exchange.usedAddresses.add(target.address)
+        val idleConnection =
+            if (isFirstThere) connections.takeIdle(target.address, maxIdle) else null
         if (idleConnection != null) {
             write(idleConnection)
             return
@@ -114,6 +114,10 @@
         startTimeout(target.gapLimit)
     }
 
+    private val maxIdle: Duration
+        get() =
+            if (target.repetition == Repetition.AT_MOST_ONCE) MAX_IDLE_AT_MOST_ONCE else MAX_IDLE
+
     private fun write(opened: EndpointConnection) {
         val remaining = -deadline.elapsedNow()
         if (remaining < MIN_REMAINING) {
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardExchange.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardExchange.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpVersion
+import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.RequestHead
 import org.gypsumroute.api.RequestId
 
@@ -26,6 +27,12 @@
     /** The open attempts; more than one only while an earlier one is stalled. */
     val attempts = ArrayList<EndpointAttempt>(1)
 
+    /**
+     * Addresses that the request was sent to. Another attempt there uses a new connection: on the
+     * earlier one, the id of the request does not tell the answers to the two attempts apart.
+     */
+    val usedAddresses = HashSet<EndpointAddress>(1)
+
     /** The last failure response of an endpoint, which may be relayed to the caller. */
     var failureResponse: BufferedResponse? = null
 
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/StaleRefusalTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/StaleRefusalTest.kt
@@ -85,6 +85,21 @@
         }
     }
 
+    /** The refusal of the first attempt names the same request as that of the second would. */
+    @Test
+    fun `a request that is sent to an address again uses a new connection`() {
+        val endpoint = fixture.endpoint {
+            while (it.readMessage().isNotEmpty()) it.write(refusalOf("1"))
+        }
+        fixture.call(get("1"))
+        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+        repeat(2) {
+            fixture.send(arrived, endpoint.address, repetition = Repetition.AT_MOST_ONCE)
+            assertIs<AttemptOutcome.NotRun>(fixture.awaitAttemptEnd(arrived.request).outcome)
+        }
+        assertEquals(2, endpoint.connections.size)
+    }
+
     /** An endpoint that wrote one answer too many may do so again. */
     @Test
     fun `a connection on which an answer was passed over is not kept`() {
@@ -97,6 +112,27 @@
         fixture.awaitConnections(endpoint, 2)
     }
 
+    @Test
+    fun `a refusal before the end of a long body is a promise`() {
+        val body = "x".repeat(3_000_000)
+        val endpoint = fixture.endpoint {
+            it.readTo("\r\n\r\n")
+            it.write(refusalOf("1"))
+            Thread.sleep(300)
+            it.readAll()
+        }
+        fixture.call(
+            "POST /a/ HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\nContent-Length: ${body.length}\r\n\r\n" +
+                body
+        )
+        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+        fixture.send(arrived, endpoint.address, repetition = Repetition.AT_MOST_ONCE)
+        assertIs<AttemptOutcome.NotRun>(fixture.awaitAttemptEnd(arrived.request).outcome)
+        fixture.send(arrived, endpoint.address, repetition = Repetition.AT_MOST_ONCE)
+        assertIs<AttemptOutcome.NotRun>(fixture.awaitAttemptEnd(arrived.request).outcome)
+        assertEquals(2, endpoint.connections.size)
+    }
+
     /** Bytes of another answer inside an answer are no answer, whatever they promise. */
     @Test
     fun `a refusal after a part of the answer is no refusal`() {
