Do not take blank lines after the last event for a part of another

What callers would see: a stream that is broken off, or run once more, after its endpoint had ended it properly. It has neither a length nor chunks, and ends with one more line break than its last event needs.

Cause: a line break that came in a read of its own was held as the beginning of the next event, so the stream counted as ended inside an event.

Blank lines alone are no event. They are passed on at the end of the stream, so that the caller gets the whole body.

The test failed before: UnframedAnswerTest.a stream that ends with more blank lines is complete: Expected <AttemptOutcome$Completed>, actual <AttemptOutcome$Broken>

The other tests of answers without a length passed before too: an end between events is complete; an end inside an event, or a reset anywhere, is broken off, to be resumed after the last complete event; a caller of HTTP/1.0 sees the end of its stream as a close and a break as a reset.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.util.ByteProcessor
 
 /** Buffers the bytes of a stream and returns them in complete events. */
 internal class EventSplitter {
@@ -18,8 +19,8 @@
     /** Number of bytes of the incomplete event that is buffered. */
     val bufferedBytes: Int get() = pending.readableBytes()
 
-    /** Whether bytes of an incomplete event are buffered. */
-    val hasPartialEvent: Boolean get() = pending.isReadable
+    /** Whether bytes of an incomplete event are buffered. Blank lines alone are no event. */
+    val hasPartialEvent: Boolean get() = pending.forEachByte(BLANK_LINES) >= 0
 
     /**
      * Adds bytes and returns all events that are complete now, or null if there are none. The
@@ -38,6 +39,9 @@
         return complete
     }
 
+    /** Returns the blank lines that followed the last event; the caller has to release them. */
+    fun takeTrailingBlankLines(): ByteBuf = pending.readRetainedSlice(pending.readableBytes())
+
     /** Releases the buffer. */
     fun release() {
         pending.release()
@@ -72,5 +76,8 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+
+        /** Returns false for the first byte that belongs to no blank line. */
+        val BLANK_LINES = ByteProcessor { it == LINE_FEED || it == CARRIAGE_RETURN }
     }
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
@@ -111,6 +111,7 @@
         else -> {
             traffic.takeOver(attempt)
             startResponse()
+            exchange.caller.sendPart(splitter.takeTrailingBlankLines())
             exchange.caller.endResponse()
             AttemptOutcome.Completed(status.code(), longestPause)
         }
