Break off an answer that has begun in place of a second one

What callers saw at other operators: the text of an error, at times its whole head, in the middle of their stream, or a stream that ended as if complete.

Cause here: the control thread decides to refuse a request, or to pass a held failure on, from what it has heard so far. The first event of a stream may have been sent to the caller just before, as at the deadline or after a stall. The traffic then wrote a second head into the stream. To a caller of HTTP/1.1 the encoder refused to write it, and the stream stayed open without an end; a caller of HTTP/1.0 saw its connection closed as after a complete answer.

The traffic knows whether the answer has begun, so it decides now: what has begun is broken off, without a last chunk or with a reset.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
@@ -99,7 +99,7 @@
 
             is ForwardEffect.RelayFailure -> relayFailure(effect.request)
 
-            is ForwardEffect.Refuse -> closeExchange(effect.request)?.caller?.refuse(effect.failure)
+            is ForwardEffect.Refuse -> answer(effect.request) { it.caller.refuse(effect.failure) }
 
             is ForwardEffect.Cut -> closeExchange(effect.request)?.caller?.abortResponse()
 
@@ -224,11 +224,20 @@
         attempt.start(connections)
     }
 
-    private fun relayFailure(request: RequestId) {
+    private fun relayFailure(request: RequestId) = answer(request) { exchange ->
+        exchange.failureResponse?.let { failure ->
+            val status = HttpResponseStatus.valueOf(failure.status)
+            exchange.caller.sendResponse(status, failure.headers, failure.body.retain())
+        }
+    }
+
+    /**
+     * Ends a request with what [send] sends as its whole answer. Breaks the answer off if it has
+     * begun, of which the control thread may not have heard when it decided to send another.
+     */
+    private fun answer(request: RequestId, send: (ForwardExchange) -> Unit) {
         val exchange = exchanges[request] ?: return
-        val failureResponse = exchange.failureResponse ?: return
-        val status = HttpResponseStatus.valueOf(failureResponse.status)
-        exchange.caller.sendResponse(status, failureResponse.headers, failureResponse.body.retain())
+        if (exchange.responseStarted) exchange.caller.abortResponse() else send(exchange)
         closeExchange(request)
     }
 
--- /dev/null
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ResumedAnswerTest.kt
@@ -0,0 +1,105 @@
+/*
+ * What may follow a part of an answer that the caller already has. Guards against callers that find
+ * the text or the head of another answer in the middle of their stream, or a stream that broke off
+ * and looks complete.
+ */
+package org.gypsumroute.gateway
+
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import org.gypsumroute.api.AttemptOutcome
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Failure
+import org.gypsumroute.api.ForwardEffect
+import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.RunState
+
+class ResumedAnswerTest {
+    private val fixture = TrafficFixture()
+    private val signedHead = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signature: s\r\n"
+    private val refusal = Failure(ErrorKind.ENDPOINT_LOST, "x", RunState.UNKNOWN)
+
+    @AfterTest
+    fun close() = fixture.close()
+
+    /** A stream that broke off after the event with id 5. */
+    private inner class BrokenStream(version: String = "HTTP/1.1") {
+        val caller = fixture.call("GET /a HTTP/1.1\r\nX-Id: 1\r\n\r\n".replace("HTTP/1.1", version))
+        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+
+        init {
+            val endpoint = fixture.endpoint {
+                it.readMessage()
+                it.write(streamHeadFor("1") + chunk("id: 5\ndata: a\n\n"))
+                it.close()
+            }
+            fixture.send(arrived, endpoint.address, streaming = true)
+            assertIs<ForwardEvent.StreamBegun>(fixture.nextEvent())
+            assertIs<AttemptOutcome.Broken>(fixture.awaitAttemptEnd(arrived.request).outcome)
+        }
+
+        /** Returns the outcome of an attempt to resume that gets [answer] and then a close. */
+        fun resumeWith(answer: String): AttemptOutcome {
+            val endpoint = fixture.endpoint {
+                it.readMessage()
+                it.write(answer)
+                it.close()
+            }
+            fixture.send(arrived, endpoint.address, streaming = true)
+            return fixture.awaitAttemptEnd(arrived.request).outcome
+        }
+
+        /** Asserts that the caller received the first event only, and no sign of an end. */
+        fun assertBrokenOff(case: String) {
+            caller.readTo("data: a\n\n\r\n")
+            assertEquals("", caller.readTo("\r\n\r\n"), case)
+        }
+    }
+
+    @Test
+    fun `a stream that has nothing left is complete`() {
+        val stream = BrokenStream()
+        val outcome = stream.resumeWith(streamHeadFor("1") + "0\r\n\r\n")
+        assertIs<AttemptOutcome.Completed>(outcome)
+        assertTrue(stream.caller.readTo("\r\n0\r\n\r\n").endsWith("data: a\n\n\r\n0\r\n\r\n"))
+    }
+
+    /**
+     * The control thread may decide to answer with an error just before it learns that the answer
+     * has begun, as at the deadline of the request.
+     */
+    @Test
+    fun `an error of the gateway is not written into an answer that has begun`() {
+        val stream = BrokenStream()
+        fixture.execute(ForwardEffect.Refuse(stream.arrived.request, refusal))
+        stream.assertBrokenOff("refusal")
+    }
+
+    @Test
+    fun `the failure of an endpoint is not written into an answer that has begun`() {
+        val stream = BrokenStream()
+        val outcome = stream.resumeWith(responseTo("1", "broken", "500 Oops"))
+        assertEquals(AttemptOutcome.Failed(500), outcome)
+        fixture.execute(ForwardEffect.RelayFailure(stream.arrived.request))
+        stream.assertBrokenOff("failure")
+    }
+
+    /** Without chunks, only a reset tells the caller that its answer is incomplete. */
+    @Test
+    fun `a caller without chunks receives a reset in place of an error`() {
+        for (effect in listOf<(ForwardEvent.Arrived) -> ForwardEffect>(
+            { ForwardEffect.Cut(it.request) },
+            { ForwardEffect.Refuse(it.request, refusal) }
+        )) {
+            val stream = BrokenStream("HTTP/1.0")
+            stream.caller.readTo("data: a\n\n")
+            fixture.execute(effect(stream.arrived))
+            assertNull(stream.caller.readAll())
+        }
+    }
+}
