Relay only a stream of events as the rest of a stream

What callers would see: a JSON text, or a whole second answer, in the middle of their stream, or a stream that ends as if complete after it broke off.

Cause: an answer to an attempt to resume was taken for the rest of the stream if it was a signed success, whatever its type and status: a JSON text with a blank line, an empty one, or a 204. In the same way an answer of another type to a first attempt was split into events, and given up as a broken stream because it has none. A whole answer could also follow a part of another, if the control thread had not yet heard of that part.

What continues an answer must now be a stream of events with status 200. Anything else ends the attempt as lost, after which the stream is resumed elsewhere or broken off. A first answer of another type is relayed whole.

The tests failed before: ResumedAnswerTest.an answer that does not continue the stream is not relayed: IllegalState: unexpected StreamBegun(request=1, attempt=4) ResumedAnswerTest.a second whole answer does not follow a part of the first: Expected <AttemptOutcome$Lost>, actual <AttemptOutcome$Completed> ResumedAnswerTest.an answer of another type than a stream is relayed whole: Expected <AttemptOutcome$Completed>, actual <AttemptOutcome$Lost>

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
@@ -6,10 +6,12 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
 import kotlin.time.Duration
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
@@ -25,8 +27,15 @@
     private val status: HttpResponseStatus = response.status()
     private val headers: HttpHeaders = forwardedHeaders(response.headers())
     private val exchange = attempt.exchange
-    private val success = status.codeClass() == HttpStatusClass.SUCCESS && head.signed
-    private val eventSplitter = if (success && attempt.target.streaming) EventSplitter() else null
+    private val isStream = attempt.target.streaming && mayBeEventStream(response.headers())
+
+    /** Whether the caller has a part of the answer already, which this response has to continue. */
+    private val resumesAnswer = exchange.responseStarted
+
+    /** Whether the response may be relayed to the caller as it arrives. */
+    private val success = status.codeClass() == HttpStatusClass.SUCCESS && head.signed &&
+        (!resumesAnswer || continuesStream())
+    private val eventSplitter = if (success && isStream) EventSplitter() else null
     private val bufferedBody: ByteBuf = Unpooled.buffer(0)
     private var relaying = false
     private var lastForwardedAt: TimeMark? = null
@@ -85,7 +94,9 @@
 
             head.notRun -> AttemptOutcome.NotRun(code, head.misdirected, head.faultyAddress)
 
-            status.codeClass() == HttpStatusClass.SUCCESS -> AttemptOutcome.Lost("unsigned answer")
+            status.codeClass() == HttpStatusClass.SUCCESS -> AttemptOutcome.Lost(
+                if (head.signed) "not the rest of the answer" else "unsigned answer"
+            )
 
             code in notRunStatuses -> AttemptOutcome.Lost(
                 "endpoint answered $code without a promise"
@@ -101,6 +112,8 @@
         bufferedBody.release()
     }
 
+    private fun continuesStream(): Boolean = isStream && status == HttpResponseStatus.OK
+
     private fun completeStream(splitter: EventSplitter): AttemptOutcome = when {
         splitter.hasPartialEvent && deliveryStarted -> AttemptOutcome.Broken(
             "stream ended inside an event"
@@ -162,6 +175,13 @@
     }
 
     private companion object {
+        const val EVENT_STREAM = "text/event-stream"
+
+        /** Whether a response may be a stream of events; one that states no type may be. */
+        fun mayBeEventStream(headers: HttpHeaders): Boolean =
+            HttpUtil.getMimeType(headers[HttpHeaderNames.CONTENT_TYPE] ?: EVENT_STREAM)
+                ?.toString()?.trim().equals(EVENT_STREAM, ignoreCase = true)
+
         /**
          * Successful responses larger than this are forwarded while they arrive. A failure response
          * or an event that is larger is not accepted.
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ResumedAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ResumedAnswerTest.kt
@@ -61,6 +61,33 @@
         }
     }
 
+    @Test
+    fun `an answer that does not continue the stream is not relayed`() {
+        val body = "id: 6\ndata: b\n\n"
+        val framed = "Content-Length: ${body.length}\r\n\r\n$body"
+        val event = "Content-Type: text/event-stream\r\n"
+        val cases = listOf(
+            "HTTP/1.1 200 OK\r\nX-Id: 1\r\n$event$framed",
+            "${signedHead}Content-Type: application/json\r\n$framed",
+            "${signedHead}Content-Type: application/json\r\n\r\n$body",
+            "${signedHead}Content-Type: text/plain\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 204 No Content\r\nX-Id: 1\r\nX-Signature: s\r\n\r\n",
+            "HTTP/1.1 206 Partial\r\nX-Id: 1\r\nX-Signature: s\r\n$event$framed",
+            "HTTP/1.1 302 Found\r\nX-Id: 1\r\nX-Signature: s\r\n$event$framed",
+            "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Signature: s\r\n$event$framed",
+            "${signedHead}Content-Type: text/plain\r\n\r\n" + "x\n\n".repeat(700_000)
+        )
+        for (answer in cases) {
+            val case = answer.take(100)
+            val stream = BrokenStream()
+            val outcome = stream.resumeWith(answer)
+            val relayed = outcome is AttemptOutcome.Completed || outcome is AttemptOutcome.Broken
+            assertFalse(relayed, "$outcome: $case")
+            fixture.execute(ForwardEffect.Cut(stream.arrived.request))
+            stream.assertBrokenOff(case)
+        }
+    }
+
     @Test
     fun `a stream that has nothing left is complete`() {
         val stream = BrokenStream()
@@ -102,4 +129,41 @@
             assertNull(stream.caller.readAll())
         }
     }
+
+    @Test
+    fun `a second whole answer does not follow a part of the first`() {
+        val first = fixture.endpoint {
+            it.readMessage()
+            it.write("${signedHead}Content-Length: 3000000\r\n\r\n" + "x".repeat(1_500_000))
+            it.close()
+        }
+        val second = fixture.endpoint {
+            it.readMessage()
+            it.write(responseTo("1", "whole"))
+        }
+        val caller = fixture.call(get("1"))
+        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+        fixture.send(arrived, first.address)
+        assertIs<ForwardEvent.StreamBegun>(fixture.nextEvent())
+        assertIs<AttemptOutcome.Broken>(fixture.awaitAttemptEnd(arrived.request).outcome)
+        fixture.send(arrived, second.address)
+        assertIs<AttemptOutcome.Lost>(fixture.awaitAttemptEnd(arrived.request).outcome)
+        fixture.execute(ForwardEffect.Refuse(arrived.request, refusal))
+        val received = caller.readAll().orEmpty()
+        assertFalse("whole" in received)
+        assertFalse(received.endsWith("0\r\n\r\n"))
+    }
+
+    @Test
+    fun `an answer of another type than a stream is relayed whole`() {
+        val endpoint = fixture.endpoint {
+            it.readMessage()
+            it.write("${signedHead}Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}")
+        }
+        val caller = fixture.call(get("1"))
+        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+        fixture.send(arrived, endpoint.address, streaming = true)
+        assertIs<AttemptOutcome.Completed>(fixture.awaitAttemptEnd(arrived.request).outcome)
+        assertTrue(caller.readMessage().endsWith("\r\n\r\n{}"))
+    }
 }
