Do not relay events that the caller has once more

What callers would see: events of their stream twice, from an endpoint that was asked to go on after an event and started over.

Cause: what an endpoint sent after an attempt to resume was relayed without a look at its first id.

The attempt now ends as lost if its first event is not after the last one that the caller has: ids that are numbers increase, and any other must differ. The stream is resumed elsewhere or broken off.

The test failed before: ResumedAnswerTest.events that the caller already has are not relayed: IllegalState: unexpected StreamBegun(request=0, attempt=2)

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -163,8 +163,8 @@
         } finally {
             content.release()
         }
-        if (current.responseReader?.isOversized == true) {
-            fail(current, "an answer or event without end")
+        current.responseReader?.rejection?.let { cause ->
+            fail(current, cause)
             return
         }
         if (content is LastHttpContent && failure == null) finish(current)
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
@@ -12,6 +12,10 @@
 internal class EventSplitter {
     private var pending: ByteBuf = Unpooled.buffer(INITIAL_BUFFER_BYTES)
 
+    /** Id of the first event that has one, as text from the stream; null before. */
+    var firstEventId: String? = null
+        private set
+
     /** Id of the last complete event that has one, as text from the stream; null before. */
     var lastEventId: String? = null
         private set
@@ -31,7 +35,7 @@
         val end = endOfLastEvent()
         if (end < 0) return null
         val complete = pending.readRetainedSlice(end - pending.readerIndex())
-        recordLastId(complete)
+        recordIds(complete)
         val remaining = Unpooled.buffer(maxOf(INITIAL_BUFFER_BYTES, pending.readableBytes()))
         remaining.writeBytes(pending)
         pending.release()
@@ -65,10 +69,14 @@
             pending.getByte(index - 2) == LINE_FEED
     }
 
-    private fun recordLastId(events: ByteBuf) {
-        val text = events.toString(Charsets.UTF_8)
-        val line = text.lineSequence().lastOrNull { it.startsWith(ID_FIELD) } ?: return
-        lastEventId = line.removePrefix(ID_FIELD).removePrefix(" ")
+    private fun recordIds(events: ByteBuf) {
+        val ids = events.toString(Charsets.UTF_8).lineSequence()
+            .filter { it.startsWith(ID_FIELD) }
+            .map { it.removePrefix(ID_FIELD).removePrefix(" ") }
+            .toList()
+        if (ids.isEmpty()) return
+        firstEventId = firstEventId ?: ids.first()
+        lastEventId = ids.last()
     }
 
     private companion object {
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
@@ -38,6 +38,7 @@
     private val eventSplitter = if (success && isStream) EventSplitter() else null
     private val bufferedBody: ByteBuf = Unpooled.buffer(0)
     private var relaying = false
+    private var repeatsEvents = false
     private var lastForwardedAt: TimeMark? = null
     private var longestPause = Duration.ZERO
 
@@ -65,8 +66,16 @@
         }
     }
 
-    /** Whether more is buffered than any valid answer needs, so that the attempt has to end. */
-    val isOversized: Boolean
+    /** Why the attempt has to end although the response goes on, or null. */
+    val rejection: String?
+        get() = when {
+            repeatsEvents -> "events that the caller has"
+            isOversized -> "an answer or event without end"
+            else -> null
+        }
+
+    /** Whether more is buffered than any valid answer needs. */
+    private val isOversized: Boolean
         get() {
             val bufferedBytes = eventSplitter?.bufferedBytes ?: bufferedBody.readableBytes()
             return bufferedBytes > MAX_BUFFERED_BYTES && !relaying
@@ -145,6 +154,11 @@
 
     private fun forwardEvents(splitter: EventSplitter, complete: ByteBuf) {
         val first = !deliveryStarted
+        if (first && resumesAnswer && !follows(splitter.firstEventId, exchange.lastEventId)) {
+            repeatsEvents = true
+            complete.release()
+            return
+        }
         traffic.takeOver(attempt)
         startResponse()
         deliveryStarted = true
@@ -182,6 +196,21 @@
             HttpUtil.getMimeType(headers[HttpHeaderNames.CONTENT_TYPE] ?: EVENT_STREAM)
                 ?.toString()?.trim().equals(EVENT_STREAM, ignoreCase = true)
 
+        /**
+         * Whether an event with the id [next] may come after the one with [previous]. Ids that are
+         * numbers increase; of others, only the same one is known to be no later.
+         */
+        fun follows(next: String?, previous: String?): Boolean {
+            if (next == null || previous == null) return true
+            val nextNumber = next.toLongOrNull()
+            val previousNumber = previous.toLongOrNull()
+            return if (nextNumber != null && previousNumber != null) {
+                nextNumber > previousNumber
+            } else {
+                next != previous
+            }
+        }
+
         /**
          * Successful responses larger than this are forwarded while they arrive. A failure response
          * or an event that is larger is not accepted.
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ResumedAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ResumedAnswerTest.kt
@@ -88,6 +88,39 @@
         }
     }
 
+    /** An endpoint that ignores the position starts over, and its events would come twice. */
+    @Test
+    fun `events that the caller already has are not relayed`() {
+        for (id in listOf("1", "4", "5", "05")) {
+            val stream = BrokenStream()
+            val outcome =
+                stream.resumeWith(streamHeadFor("1") + chunk("id: $id\ndata: b\n\n") + "0\r\n\r\n")
+            assertIs<AttemptOutcome.Lost>(outcome, id)
+            fixture.execute(ForwardEffect.Cut(stream.arrived.request))
+            stream.assertBrokenOff(id)
+        }
+    }
+
+    /** The events of one read are forwarded together, so the first of them counts. */
+    @Test
+    fun `events after the last one that the caller has are relayed`() {
+        for (ids in listOf(listOf("6", "7"), listOf("10"), listOf("end"))) {
+            val stream = BrokenStream()
+            val events = ids.joinToString("") { "id: $it\ndata: b\n\n" }
+            fixture.send(
+                stream.arrived,
+                fixture.endpoint {
+                    it.readMessage()
+                    it.write(streamHeadFor("1") + chunk(events) + "0\r\n\r\n")
+                }.address,
+                streaming = true
+            )
+            assertIs<ForwardEvent.StreamBegun>(fixture.nextEvent())
+            assertTrue(stream.caller.readTo("\r\n0\r\n\r\n").endsWith("$events\r\n0\r\n\r\n"))
+            fixture.nextEvent<ForwardEvent.AttemptEnded>()
+        }
+    }
+
     @Test
     fun `a stream that has nothing left is complete`() {
         val stream = BrokenStream()
