Note that an answer has begun at an attempt that was stopped

Cause: an attempt that is silent is stopped and replaced. If its first event was sent to the caller before the stop took effect, the event that tells so was ignored, because its attempt was no longer the current one. The record then said that no part of the answer had been sent.

The record now notes it whatever became of the attempt; the load of the endpoints is still counted for the current attempt only.

The test failed before: StallReducerTest.an answer that began at an attempt that was stopped is not answered with an error: expected: <[Cut(request=1)]> but was: <[Refuse(request=1, failure=Failure(kind=ENDPOINT_LOST, ...))]>

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -18,14 +18,15 @@
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
 
+/** The answer has begun even if its attempt was stopped just after that. */
 internal fun reduceStreamBegun(
     state: GatewayState,
     event: ForwardEvent.StreamBegun
 ): Step<GatewayState> {
     val record = state.requests[event.request] ?: return state.step()
-    val attempt = record.attempt?.takeIf { it.id == event.attempt } ?: return state.step()
+    val attempt = record.attempt?.takeIf { it.id == event.attempt }
     var endpoints = state.endpoints
-    for (id in attempt.helpers + attempt.endpoint) {
+    for (id in attempt?.let { it.helpers + it.endpoint }.orEmpty()) {
         endpoints[id]?.let { endpoints = endpoints.put(id, it.afterPrefill(event.request)) }
     }
     val next = record.copy(
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StallReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StallReducerTest.kt
@@ -36,6 +36,10 @@
     private fun GatewayHarness.abandoned() =
         effects.filterIsInstance<ForwardEffect.Abandon>().map { it.attempt }
 
+    private fun GatewayHarness.answers() = effects.filter {
+        it is ForwardEffect.Cut || it is ForwardEffect.Refuse || it is ForwardEffect.RelayFailure
+    }
+
     private fun GatewayHarness.workAt(endpoint: EndpointId) =
         state.endpoints.getValue(endpoint).work.size
 
@@ -125,6 +129,22 @@
         assertEquals(0, harness.workAt(first.endpoint))
     }
 
+    /**
+     * Guards against an error in the middle of a stream: its first event was sent to the caller
+     * just before its attempt was stopped as silent.
+     */
+    @Test
+    fun `an answer that began at an attempt that was stopped is not answered with an error`() {
+        for (outcome in listOf(notRun, AttemptOutcome.Failed(500))) {
+            val harness = engines(2).apply { arrive("1", headOf("/stream/x", prompt = 1000)) }
+            val stopped = harness.attempt().id
+            harness.stall()
+            harness.feed(ForwardEvent.StreamBegun(request, stopped))
+            harness.endAttempt("1", outcome)
+            assertEquals(listOf<Any>(ForwardEffect.Cut(request)), harness.answers())
+        }
+    }
+
     @Test
     fun `the end of a request stops both attempts`() {
         val harness = begunStream(2)
