Test odd figures and nesting in what engines and host lists send

These could not be shown to fail: an engine's stream ends as complete only with its own last line, whatever ends the connection; unknown fields of any depth are skipped without recursion; a keep-alive time of any size is accepted.

--- a/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/SingleAttemptHttpClientTest.kt
+++ b/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/SingleAttemptHttpClientTest.kt
@@ -3,6 +3,8 @@
 import arrow.core.Either
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.BeforeTest
 import kotlin.test.Test
@@ -15,6 +17,7 @@
 import mockwebserver3.MockResponse
 import mockwebserver3.MockWebServer
 import mockwebserver3.SocketEffect
+import org.gypsumroute.api.LeaseId
 
 /**
  * Guards against calls that are sent twice, and against a failure that claims the server was not
@@ -132,4 +135,56 @@
         return runBlocking { client.call("/print-orders", listOf("order".toByteArray())) }
             .also { client.close() }
     }
+
+    /**
+     * Guards against a stream of an engine that breaks off and counts as complete, and against text
+     * that overflows the stack of the thread that reads it.
+     */
+    @Test
+    fun `an engine's stream without an end has broken off`() {
+        val chunk = """{"chunk":0,"text":"a","tokens":1}""" + "\n"
+        val deep = "[".repeat(100_000)
+        val bodies = listOf(
+            chunk,
+            chunk + """{"end":1,"tok""",
+            chunk + """{"end":1,"tokens":1}""",
+            chunk + """{"end":1e99,"tokens":1}""" + "\n",
+            "$chunk$deep\n",
+            chunk + """{"chunk":$deep}""" + "\n",
+            chunk + """{"new":$deep}""" + "\n"
+        )
+        val client = EngineClient(address)
+        for (body in bodies) {
+            server.enqueue(unframed(body))
+            val events = LinkedBlockingQueue<EngineStreamEvent>()
+            client.resume(LeaseId("1"), 0) { events += it }
+            assertIs<EngineStreamEvent.Chunk>(events.poll(5, TimeUnit.SECONDS), body.take(60))
+            assertIs<EngineStreamEvent.Failed>(events.poll(5, TimeUnit.SECONDS), body.take(60))
+        }
+        server.enqueue(unframed(chunk + """{"end":1,"new":{"a":[[1]]}}""" + "\n"))
+        val events = LinkedBlockingQueue<EngineStreamEvent>()
+        client.resume(LeaseId("1"), 0) { events += it }
+        assertIs<EngineStreamEvent.Chunk>(events.poll(5, TimeUnit.SECONDS))
+        assertIs<EngineStreamEvent.Ended>(events.poll(5, TimeUnit.SECONDS))
+        client.close()
+    }
+
+    /** Guards against a deeply nested entry that ends the reads of the host list. */
+    @Test
+    fun `a deeply nested host list is a failure`() = runBlocking {
+        val hosts = HostListClient(address, timeouts)
+        val deep = "[".repeat(100_000)
+        for (body in listOf(deep, """{"hosts":$deep""", """{"sequence":1,"new":$deep""")) {
+            server.enqueue(MockResponse(body = body))
+            assertIs<ClientFailure.Malformed>(hosts.read().leftOrNull())
+        }
+        hosts.close()
+    }
+
+    /** A response that ends with its connection. */
+    private fun unframed(body: String) = MockResponse.Builder()
+        .body(body)
+        .removeHeader("Content-Length")
+        .onResponseEnd(SocketEffect.ShutdownConnection)
+        .build()
 }
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ForwardingTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ForwardingTest.kt
@@ -326,6 +326,22 @@
         assertEquals(2, endpoint.connections.size)
     }
 
+    /** Guards against an answer that is lost because of a number in its headers. */
+    @Test
+    fun `a keep-alive time of any size does not affect the answer`() {
+        for (seconds in listOf("9223372036854775807", "9".repeat(40), "-1", "0", "x", "")) {
+            val endpoint = fixture.endpoint {
+                it.readMessage()
+                it.write(responseTo("1").replace("X-Id", "Keep-Alive: timeout=$seconds\r\nX-Id"))
+            }
+            val caller = fixture.call(get("1"))
+            fixture.send(fixture.nextEvent(), endpoint.address)
+            assertTrue(caller.readMessage().endsWith("hello"), seconds)
+            val outcome = fixture.nextEvent<ForwardEvent.AttemptEnded>().outcome
+            assertIs<AttemptOutcome.Completed>(outcome, seconds)
+        }
+    }
+
     /**
      * Guards against a next request that is written before the rest of a body whose response came
      * early, or in its place.
