--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -51,9 +51,9 @@
 
     /** Starts on an idle connection or on a new one. */
     fun start(connections: EndpointConnections) {
-        val maxIdle =
-            if (target.repetition == Repetition.AT_MOST_ONCE) MAX_IDLE_AT_MOST_ONCE else MAX_IDLE
-        val idleConnection = connections.takeIdle(target.address, maxIdle)
+        val isFirstThere = exchange.usedAddresses.add(target.address)
+        val idleConnection =
+            if (isFirstThere) connections.takeIdle(target.address, maxIdle) else null
         if (idleConnection != null) {
             write(idleConnection)
             return
@@ -123,6 +123,10 @@
         startTimeout(target.gapLimit)
     }
 
+    private val maxIdle: Duration
+        get() =
+            if (target.repetition == Repetition.AT_MOST_ONCE) MAX_IDLE_AT_MOST_ONCE else MAX_IDLE
+
     private fun write(opened: EndpointConnection) {
         val remaining = -deadline.elapsedNow()
         if (remaining < MIN_REMAINING) {
@@ -130,9 +134,17 @@
             finish(AttemptOutcome.NeverSent("the time of the request is over"))
             return
         }
+        val request = try {
+            requestFor(remaining)
+        } catch (exception: IllegalArgumentException) {
+            // A header cannot be written. Nobody above handles it if the connection is a new one.
+            opened.close()
+            finish(AttemptOutcome.NeverSent("cannot be sent: ${exception.javaClass.simpleName}"))
+            return
+        }
         connection = opened
         startTimeout(target.firstByteLimit)
-        opened.send(this, requestFor(remaining))
+        opened.send(this, request)
     }
 
     private fun requestFor(remaining: Duration): FullHttpRequest {
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
@@ -6,11 +6,16 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.util.ByteProcessor
 
 /** Buffers the bytes of a stream and returns them in complete events. */
 internal class EventSplitter {
     private var pending: ByteBuf = Unpooled.buffer(INITIAL_BUFFER_BYTES)
 
+    /** Id of the first event that has one, as text from the stream; null before. */
+    var firstEventId: String? = null
+        private set
+
     /** Id of the last complete event that has one, as text from the stream; null before. */
     var lastEventId: String? = null
         private set
@@ -18,8 +23,8 @@
     /** Number of bytes of the incomplete event that is buffered. */
     val bufferedBytes: Int get() = pending.readableBytes()
 
-    /** Whether bytes of an incomplete event are buffered. */
-    val hasPartialEvent: Boolean get() = pending.isReadable
+    /** Whether bytes of an incomplete event are buffered. Blank lines alone are no event. */
+    val hasPartialEvent: Boolean get() = pending.forEachByte(BLANK_LINES) >= 0
 
     /**
      * Adds bytes and returns all events that are complete now, or null if there are none. The
@@ -30,7 +35,7 @@
         val end = endOfLastEvent()
         if (end < 0) return null
         val complete = pending.readRetainedSlice(end - pending.readerIndex())
-        recordLastId(complete)
+        recordIds(complete)
         val remaining = Unpooled.buffer(maxOf(INITIAL_BUFFER_BYTES, pending.readableBytes()))
         remaining.writeBytes(pending)
         pending.release()
@@ -38,6 +43,9 @@
         return complete
     }
 
+    /** Returns the blank lines that followed the last event; the caller has to release them. */
+    fun takeTrailingBlankLines(): ByteBuf = pending.readRetainedSlice(pending.readableBytes())
+
     /** Releases the buffer. */
     fun release() {
         pending.release()
@@ -61,10 +69,14 @@
             pending.getByte(index - 2) == LINE_FEED
     }
 
-    private fun recordLastId(events: ByteBuf) {
-        val text = events.toString(Charsets.UTF_8)
-        val line = text.lineSequence().lastOrNull { it.startsWith(ID_FIELD) } ?: return
-        lastEventId = line.removePrefix(ID_FIELD).removePrefix(" ")
+    private fun recordIds(events: ByteBuf) {
+        val ids = events.toString(Charsets.UTF_8).lineSequence()
+            .filter { it.startsWith(ID_FIELD) }
+            .map { it.removePrefix(ID_FIELD).removePrefix(" ") }
+            .toList()
+        if (ids.isEmpty()) return
+        firstEventId = firstEventId ?: ids.first()
+        lastEventId = ids.last()
     }
 
     private companion object {
@@ -72,5 +84,8 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+
+        /** Returns false for the first byte that belongs to no blank line. */
+        val BLANK_LINES = ByteProcessor { it == LINE_FEED || it == CARRIAGE_RETURN }
     }
 }
