Answer pipelined requests that were read before a planned stop closes

What callers saw: a caller that had sent several requests on one connection got the first response with `Connection: close` during a planned stop, and the connection ended. The gateway had read the other requests completely and dropped them without an answer.

Cause: while draining, `finish` closed the connection after the response in progress, whatever waited in `pipelined`.

Change: one property decides whether the connection closes after a response. While draining it is false as long as a complete request waits, so each of them gets its response (served or refused by the reducer), in order, and only the last response carries `Connection: close`. A request whose rest has not arrived behind such a response is dropped as before: the caller has been told that the connection closes.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -57,6 +57,14 @@
 
     /** Parts of pipelined requests, which wait until the current request has its response. */
     private val pipelined = ArrayDeque<HttpObject>()
+
+    /**
+     * Whether the connection closes after the current response. A planned stop closes it only after
+     * the pipelined requests that have been read completely, which have their own responses.
+     */
+    private val closesAfterResponse: Boolean
+        get() = !keepAlive || closing ||
+            (traffic.draining && pipelined.none { it is LastHttpContent })
     private var timeout: ScheduledFuture<*>? = null
     private var chunked = false
 
@@ -235,7 +243,7 @@
 
     private fun finish(last: HttpObject) {
         if (last is HttpResponse) setConnectionHeader(last)
-        val close = !keepAlive || closing || traffic.draining
+        val close = closesAfterResponse
         closing = close
         setTimeout(limits.idleTimeout) { channel.close() }
         serving = null
@@ -258,7 +266,7 @@
     }
 
     private fun setConnectionHeader(response: HttpResponse) {
-        if (!keepAlive || closing || traffic.draining) {
+        if (closesAfterResponse) {
             keepAlive = false
             response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
         }
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/PipeliningTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/PipeliningTest.kt
@@ -17,6 +17,7 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import org.gypsumroute.api.Event
 import org.gypsumroute.api.ForwardEvent
 
@@ -90,4 +91,19 @@
         writes.complete()
         assertEquals(listOf(1L, 2L, 3L), bodies())
     }
+
+    /** Guards against requests that are dropped behind a stream that was open at the stop. */
+    @Test
+    fun `a request behind a stream is served although a planned stop began during the stream`() {
+        receive(head(), lastPart("a"))
+        caller.startResponse(HttpResponseStatus.OK, EmptyHttpHeaders.INSTANCE.copy())
+        traffic.drain()
+        receive(head(), lastPart("ab"))
+        caller.endResponse()
+        writes.complete()
+        assertEquals(listOf(1L, 2L), bodies())
+        answer()
+        writes.complete()
+        assertFalse(channel.isOpen)
+    }
 }
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -56,6 +56,10 @@
         loop.submit { }.sync()
     }
 
+    /** Occupies the event loop for [time], so that input that arrives meanwhile stays unread. */
+    fun occupyLoop(time: Duration = 200.milliseconds) =
+        loop.execute { Thread.sleep(time.inWholeMilliseconds) }
+
     fun call(request: String): RawConnection =
         RawConnection(Socket(InetAddress.getLoopbackAddress(), port)).also {
             openResources += it
