Let a caller read its last response before the connection is closed

What callers saw: a caller that sends on while its last response arrives (the next request on the connection, or the rest of a body) got a connection reset in the middle of that response. Each planned stop closes all connections after their responses, so this is where it comes about most.

Cause: the socket was closed as soon as the kernel had taken the response. Input that arrives at a closed socket is answered by a reset, and the kernel then drops what it still holds of the response.

Change: after the last response only the output is shut down, and input is discarded until the caller closes, for one second at most. Refusals of incomplete requests did that already; both now share one function. The time starts when the response has been written; until then the idle timeout holds, as after any other response.

Evidence, the test on the code before:

PlannedStopTrafficTest.a caller that still sends when its connection closes can read its whole response:57 » Socket Connection reset

The caller now reads all 1,000,000 bytes and the end of the connection.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -7,7 +7,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
@@ -251,7 +250,7 @@
         finishing = true
         val written = channel.writeAndFlush(last)
         if (close) {
-            written.addListener(ChannelFutureListener.CLOSE)
+            written.addListener { closeAfterInput() }
         } else {
             written.addListener { processPipelined() }
         }
@@ -280,9 +279,7 @@
     }
 
     /**
-     * Sends an error response and closes the connection. The caller may still be sending, and
-     * closing a socket with unread bytes resets the connection and loses the response. Therefore
-     * only the output is shut down at first, and input is discarded for [LINGERING_CLOSE_TIME].
+     * Sends an error response and closes the connection, although the caller may still be sending.
      */
     private fun refuseAndClose(kind: ErrorKind, detail: String) {
         if (closing) return
@@ -306,10 +303,24 @@
             DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, TRAILERS)
         HttpUtil.setContentLength(response, body.readableBytes().toLong())
         traffic.requestRejected(failure)
-        channel.writeAndFlush(response).addListener {
-            (channel as? SocketChannel)?.shutdownOutput()
+        setTimeout(limits.idleTimeout) { channel.close() }
+        channel.writeAndFlush(response).addListener { closeAfterInput() }
+    }
+
+    /**
+     * Closes the connection without a reset. Closing a socket that has unread bytes, or receives
+     * some afterwards, resets the connection and loses what the caller has not read yet. Therefore
+     * only the output is shut down, and input is discarded until the caller closes its side, for at
+     * most [LINGERING_CLOSE_TIME].
+     */
+    private fun closeAfterInput() {
+        val socket = channel as? SocketChannel
+        if (socket == null) {
+            channel.close()
+        } else {
+            socket.shutdownOutput()
+            setTimeout(LINGERING_CLOSE_TIME) { channel.close() }
         }
-        setTimeout(LINGERING_CLOSE_TIME) { channel.close() }
     }
 
     private fun setTimeout(after: Duration, action: () -> Unit) {
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/PlannedStopTrafficTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/PlannedStopTrafficTest.kt
@@ -39,4 +39,29 @@
         assertContains(caller.readMessage().lowercase(), "connection: close")
         assertEquals("", caller.readAll())
     }
+
+    /** Guards against a reset by late input, which takes the unread part of a response with it. */
+    @Test
+    fun `a caller that still sends when its connection closes can read its whole response`() {
+        val endpoint = fixture.endpoint {
+            it.readMessage()
+            it.write(responseTo("1", body = "x".repeat(LONG_BODY_BYTES)))
+        }
+        val caller = fixture.call(get("1"))
+        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+        fixture.traffic.drain()
+        fixture.send(arrived, endpoint.address)
+        fixture.awaitAttemptEnd(arrived.request)
+        Thread.sleep(300)
+        caller.write(get("2"))
+        val response = caller.readMessage()
+        assertContains(response.lowercase(), "connection: close")
+        assertEquals(LONG_BODY_BYTES, response.count { it == 'x' })
+        assertEquals("", caller.readAll())
+    }
+
+    private companion object {
+        /** More than a caller's socket receives before the caller reads. */
+        const val LONG_BODY_BYTES = 1_000_000
+    }
 }
