Answer a request that arrived before an idle connection is closed

What callers saw: a request on a kept connection that the gateway's socket had received got a closed connection and no answer, when a planned stop closed the idle connections at that moment.

Cause: `closeIfIdle` judged by what the event loop had read. It runs as a task of that loop, after a pass over the sockets, and everything that arrived since that pass was thrown away. The busier the loop, the longer that span.

Change: the check and the close run as a scheduled task. The loop takes those up only after its next pass over the sockets, so what the socket held when the close was asked for is read first. The connection then counts as in use, and the request is served or refused as usual with `Connection: close`. A request that is still on its way when the connection closes is not read and not passed on, as before.

Evidence, the test on the code before:

PlannedStopTrafficTest.a request that arrived before an idle connection closes is answered:97 no event ==> expected: not <null>

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -173,9 +173,14 @@
         )
     }
 
-    /** Closes the connection unless a request is being received or served. */
+    /**
+     * Closes the connection unless a request is being received or served. A scheduled task runs
+     * after the next pass over the sockets, so a request that the socket holds already is read and
+     * answered.
+     */
     fun closeIfIdle() {
-        if (isIdle) channel.close()
+        channel.eventLoop()
+            .schedule({ if (isIdle) channel.close() }, 0, TimeUnit.MILLISECONDS)
     }
 
     private fun process(message: HttpObject) {
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/PlannedStopTrafficTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/PlannedStopTrafficTest.kt
@@ -60,6 +60,21 @@
         assertEquals("", caller.readAll())
     }
 
+    /** Guards against requests in the socket buffer that are lost with an idle connection. */
+    @Test
+    fun `a request that arrived before an idle connection closes is answered`() {
+        val caller = fixture.call(get("1"))
+        refuse(fixture.nextEvent())
+        caller.readMessage()
+        fixture.traffic.drain()
+        fixture.occupyLoop()
+        fixture.execute(ForwardEffect.CloseIdleCallers)
+        caller.write(get("2"))
+        refuse(fixture.nextEvent())
+        assertContains(caller.readMessage().lowercase(), "connection: close")
+        assertEquals("", caller.readAll())
+    }
+
     private companion object {
         /** More than a caller's socket receives before the caller reads. */
         const val LONG_BODY_BYTES = 1_000_000
