Stop reading, instead of closing, when pipelined requests pile up

What callers saw: a caller that sent a request with a long body behind another one lost both: the connection was closed while the first was being served.

Cause: a connection kept at most 64 parts of requests that wait, and closed when more came. A body arrives in parts of a few kilobytes, so one pipelined body of some hundred kilobytes was enough, well below the largest body that callers may send.

Change: from 64 parts on the connection is not read until the request before has its response; TCP then slows the caller down. Nothing that was read is dropped. While it is not read, a caller that leaves is not noticed; this holds only for a caller that has sent that much ahead. Before the last response of a connection is discarded input again.

Found while looking for accepted requests that end without an answer; it does not need a planned stop.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -87,11 +87,9 @@
         }
         if (serving == null && !finishing) {
             process(message)
-        } else if (pipelined.size < MAX_PIPELINED_MESSAGES) {
-            pipelined.addLast(message)
         } else {
-            ReferenceCountUtil.release(message)
-            channel.close()
+            pipelined.addLast(message)
+            if (pipelined.size >= MAX_PIPELINED_MESSAGES) channel.config().isAutoRead = false
         }
     }
 
@@ -265,8 +263,9 @@
     private fun processPipelined() {
         finishing = false
         while (serving == null && !finishing && !closing) {
-            process(pipelined.removeFirstOrNull() ?: return)
+            process(pipelined.removeFirstOrNull() ?: break)
         }
+        if (pipelined.size < MAX_PIPELINED_MESSAGES) channel.config().isAutoRead = true
     }
 
     private fun setConnectionHeader(response: HttpResponse) {
@@ -319,6 +318,7 @@
      * most [LINGERING_CLOSE_TIME].
      */
     private fun closeAfterInput() {
+        channel.config().isAutoRead = true
         val socket = channel as? SocketChannel
         if (socket == null) {
             channel.close()
@@ -337,7 +337,10 @@
     private val limits: CallerLimits get() = traffic.limits
 
     private companion object {
-        /** Maximum number of parts of pipelined requests that are kept while one is served. */
+        /**
+         * Number of parts of pipelined requests from which on nothing more is read until the
+         * request before them has its response. A disconnect is not noticed meanwhile.
+         */
         const val MAX_PIPELINED_MESSAGES = 64
         val LINGERING_CLOSE_TIME = 1.seconds
 
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallerConnectionTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallerConnectionTest.kt
@@ -5,6 +5,7 @@
 
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -55,6 +56,23 @@
         caller.readMessage()
     }
 
+    /** Guards against a long pipelined body that ends the request before it without an answer. */
+    @Test
+    fun `a pipelined request with a long body waits until the request before it is answered`() {
+        val caller = fixture.call(get("1"))
+        val first = fixture.nextEvent<ForwardEvent.Arrived>()
+        val head = "POST /a/ HTTP/1.1\r\nHost: a\r\nX-Id: 2\r\nContent-Length: $LONG_BODY_BYTES"
+        val writer = thread { caller.write("$head\r\n\r\n" + "x".repeat(LONG_BODY_BYTES)) }
+        assertTrue(fixture.hasNoEvent(500.milliseconds))
+        refuse(first)
+        caller.readMessage()
+        val second = fixture.nextEvent<ForwardEvent.Arrived>()
+        assertEquals(LONG_BODY_BYTES.toLong(), second.bodyBytes.count)
+        refuse(second)
+        caller.readMessage()
+        writer.join()
+    }
+
     @Test
     fun `oversized headers and bodies are refused`() {
         fixture.setCallerLimits(strictLimits)
@@ -191,5 +209,8 @@
     private companion object {
         const val BODY_BYTES = 8 * 1024 * 1024
         const val MAX_BODIES = 4
+
+        /** More than the connection keeps of the requests that wait. */
+        const val LONG_BODY_BYTES = 4_000_000
     }
 }
