Let a repeated SIGTERM change nothing during a planned stop

What callers saw: when the platform sent SIGTERM a second time, all open requests of the process were cut at once.

Cause: any second signal counted as a wish to end at once. Platforms and supervisors repeat SIGTERM; only a person at a terminal means that.

Change: SIGTERM only ever begins a planned stop.

Evidence, the test on the code before, with real processes; the agent had ended on the second SIGTERM while it served a stream, so that the third could not be sent:

PlannedStopTest.a repeated SIGTERM cuts no request:76 » IllegalState kill -TERM failed for agent-1

--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/StopSignals.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/StopSignals.kt
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import sun.misc.Signal
@@ -10,25 +11,36 @@
  * Handles SIGTERM and SIGINT: begins a planned stop by [drain] and waits for its end, for
  * [drainLimit] at most.
  *
+ * Platforms repeat SIGTERM, so a repeated one changes nothing. A person at a terminal can end the
+ * process with a second SIGINT.
+ *
  * The JVM's default handler for SIGTERM would end the process with exit code 143 while work is
  * still running, so it is replaced.
  */
 class StopSignals(private val drainLimit: Duration, private val drain: () -> Unit) {
-    private val stopRequests = AtomicInteger()
+    private val drainRequested = AtomicBoolean()
+    private val interrupted = AtomicBoolean()
     private val exitCode = AtomicInteger(EXIT_FORCED)
     private val processMayEnd = CountDownLatch(1)
     private val stopBegun = CountDownLatch(1)
 
     /** Replaces the JVM's signal handlers. */
     fun install() {
-        for (name in listOf("TERM", "INT")) Signal.handle(Signal(name)) { stopRequested() }
+        Signal.handle(Signal("TERM")) { terminateReceived() }
+        Signal.handle(Signal("INT")) { interruptReceived() }
+    }
+
+    /** Begins a planned stop. A further call changes nothing. */
+    fun terminateReceived() {
+        if (!drainRequested.compareAndSet(false, true)) return
+        drain()
+        stopBegun.countDown()
     }
 
     /** The first call begins a planned stop; a further one ends the process at once. */
-    fun stopRequested() {
-        if (stopRequests.incrementAndGet() == 1) {
-            drain()
-            stopBegun.countDown()
+    fun interruptReceived() {
+        if (interrupted.compareAndSet(false, true)) {
+            terminateReceived()
         } else {
             processMayEnd.countDown()
         }
--- a/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/PlannedStopTest.kt
+++ b/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/PlannedStopTest.kt
@@ -64,6 +64,25 @@
         }
     }
 
+    /** Guards against a repeated SIGTERM, as platforms send it, that cuts open requests. */
+    @Test
+    fun `a repeated SIGTERM cuts no request`() {
+        ProcessFleet(FleetPlan()).use { fleet ->
+            fleet.start()
+            val call = fleet.entries.single().stream("a menu", 300)
+            call.awaitTokens(20)
+            val stoppingProcesses = listOf("agent-1", "entry-1").map { fleet.process(it) }
+            repeat(3) {
+                stoppingProcesses.forEach { it.signal("TERM") }
+                Thread.sleep(100)
+            }
+            val outcome = call.await(30.seconds)
+            assertTrue(outcome.isComplete, "$outcome; ${fleet.logTails()}")
+            assertEquals(numberedText(300), outcome.text)
+            for (process in stoppingProcesses) assertEquals(0, process.awaitExit(15.seconds))
+        }
+    }
+
     private companion object {
         // 300,000 tokens, which take 15 s of prefill.
         const val LONG_BYTES = 1_200_000
