Follow a drain limit that the settings file raises

What callers saw: after the settings file had raised the platform's limit of a planned stop, a gateway that was then stopped still ended at the old limit and cut the requests that it went on serving under the new one.

Cause: the reducer plans the stop with the bounds in force, but `StopSignals` and the wait for callers had been given the limit of the start.

Change: both read the limit from the control state. `StopSignals` reads it again when it is reached, so a change during the stop holds as well. A lowered limit takes effect in the reducer, which then ends the stop sooner.

Evidence, the test with the limit read once at the start, as before:

StopSignalsTest.a drain limit that is raised after the start or during the drain holds:76 Expected an exception of class TimeoutException to be thrown, but was completed successfully with the result: <1>.

--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
@@ -88,6 +88,6 @@
     LogOutput.configure(settings.node.logFormat, settings.node.host)
     lateinit var signals: StopSignals
     val process = AgentProcess(settings) { signals.finished(it) }
-    signals = StopSignals(settings.node.drainLimit, process::drain)
+    signals = StopSignals({ settings.node.drainLimit }, process::drain)
     return runUntilStopped(signals, process::start, process::stop)
 }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
@@ -102,6 +102,6 @@
     LogOutput.configure(settings.node.logFormat, settings.node.host)
     lateinit var signals: StopSignals
     val process = EntryProcess(settings) { signals.finished(it) }
-    signals = StopSignals(settings.node.drainLimit, process::drain)
+    signals = StopSignals({ settings.node.drainLimit }, process::drain)
     return runUntilStopped(signals, process::start, process::stop)
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress
 import java.security.SecureRandom
 import java.util.concurrent.Executors
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
@@ -89,7 +90,7 @@
         handlers = EffectHandlers(
             setReady = { ready = it },
             exit = { code ->
-                traffic.whenCallersServed(settings.bounds.drainTime) { onExit(code) }
+                traffic.whenCallersServed(drainTime) { onExit(code) }
             },
             published = { published.execute(it) },
             forward = { traffic.execute(it) },
@@ -127,6 +128,9 @@
     var readyPort = 0
         private set
 
+    /** Longest planned stop according to the settings in force. */
+    val drainTime: Duration get() = (control.state as GatewayState).bounds.drainTime
+
     /** Binds the ports and starts the control thread. Throws IOException if a port is in use. */
     fun start() {
         reports.start(settings.exchangeAddress)
@@ -195,7 +199,7 @@
     LogOutput.configure(settings.logFormat, settings.host)
     lateinit var signals: StopSignals
     val process = GatewayProcess(settings, codec, source, reservations) { signals.finished(it) }
-    signals = StopSignals(settings.bounds.drainTime) { process.drain() }
+    signals = StopSignals({ process.drainTime }) { process.drain() }
     Signal.handle(Signal("HUP")) { process.checkSettings(readSettings) }
     process.checkSettings { startEvents }
     process.watchSettings(readSettings)
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/StopSignals.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/StopSignals.kt
@@ -5,11 +5,12 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
+import kotlin.time.TimeSource
 import sun.misc.Signal
 
 /**
  * Handles SIGTERM and SIGINT: begins a planned stop by [drain] and waits for its end, for
- * [drainLimit] at most.
+ * [drainLimit] at most. The limit is read again when it is reached, since settings may change it.
  *
  * Platforms repeat SIGTERM, so a repeated one changes nothing. A person at a terminal can end the
  * process with a second SIGINT.
@@ -17,7 +18,7 @@
  * The JVM's default handler for SIGTERM would end the process with exit code 143 while work is
  * still running, so it is replaced.
  */
-class StopSignals(private val drainLimit: Duration, private val drain: () -> Unit) {
+class StopSignals(private val drainLimit: () -> Duration, private val drain: () -> Unit) {
     private val drainRequested = AtomicBoolean()
     private val interrupted = AtomicBoolean()
     private val exitCode = AtomicInteger(EXIT_FORCED)
@@ -59,10 +60,16 @@
      */
     fun await(): Int {
         stopBegun.await()
-        processMayEnd.await(drainLimit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        val stopBeganAt = TimeSource.Monotonic.markNow()
+        do {
+            val timeLeft = drainLimit() - stopBeganAt.elapsedNow()
+        } while (timeLeft.isPositive() && !awaitEnd(timeLeft))
         return exitCode.get()
     }
 
+    private fun awaitEnd(limit: Duration): Boolean =
+        processMayEnd.await(limit.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+
     private companion object {
         const val EXIT_FORCED = 1
     }
--- a/gypsumroute-process/src/test/kotlin/org/gypsumroute/process/StopSignalsTest.kt
+++ b/gypsumroute-process/src/test/kotlin/org/gypsumroute/process/StopSignalsTest.kt
@@ -14,7 +14,7 @@
     private var drains = 0
 
     private fun stopSignals(drainLimit: Duration = 10.seconds) =
-        StopSignals(drainLimit) { drains++ }
+        StopSignals({ drainLimit }) { drains++ }
 
     private fun StopSignals.awaitInBackground() = CompletableFuture.supplyAsync { await() }
 
@@ -64,4 +64,19 @@
         signals.terminateReceived()
         assertEquals(1, exitCode.get(1, TimeUnit.SECONDS))
     }
+
+    /** Guards against a changed setting that ends the process while the drain may go on. */
+    @Test
+    fun `a drain limit that is raised after the start or during the drain holds`() {
+        var drainLimit = 50.milliseconds
+        val signals = StopSignals({ drainLimit }) { drains++ }
+        drainLimit = 200.milliseconds
+        val exitCode = signals.awaitInBackground()
+        signals.terminateReceived()
+        assertStillWaits(exitCode)
+        drainLimit = 10.seconds
+        assertFailsWith<TimeoutException> { exitCode.get(500, TimeUnit.MILLISECONDS) }
+        signals.finished(0)
+        assertEquals(0, exitCode.get(1, TimeUnit.SECONDS))
+    }
 }
