Refuse incomplete requests before the end of a planned stop

What callers saw: a caller whose request had arrived in part when the gateway had answered all others was cut off without an answer at the end of the drain time, and the process ended with exit code 1 as if requests had been open.

Cause: the wait for callers began with the exit that the reducer asks for and lasted a whole drain time more, so it never ended by itself: the limit since SIGTERM always came first and ended the process.

Change: the wait ends 100 ms before the limit since SIGTERM. Requests that have not arrived completely by then are refused as `draining` and `not_run` with Retry-After, on a connection that then closes; then the process ends with the exit code of the reducer. A connection whose caller does not close after its last response no longer forces exit code 1 either.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -181,6 +181,12 @@
             .schedule({ if (isIdle) channel.close() }, 0, TimeUnit.MILLISECONDS)
     }
 
+    /** Refuses a request that has not arrived completely, because the process ends. */
+    fun refuseIncomplete() {
+        val incomplete = serving == null && !finishing && (requestStarted || receiving != null)
+        if (incomplete) refuseAndClose(ErrorKind.DRAINING, "the gateway stops")
+    }
+
     private fun process(message: HttpObject) {
         val decodingError = message.decoderResult().cause()
         when {
@@ -295,8 +301,7 @@
             kind,
             detail,
             retryAfter = RETRY_AFTER.takeIf {
-                kind ==
-                    ErrorKind.OVERLOADED
+                kind == ErrorKind.OVERLOADED || kind == ErrorKind.DRAINING
             }
         )
         val headers = refusalHeaders(failure)
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
@@ -72,14 +72,19 @@
     /**
      * Closes the port and calls [action] once all callers have their complete answers, or after
      * [limit]. Connections that were accepted before are answered, also if their request is still
-     * arriving.
+     * arriving; one that has not arrived completely by then is refused.
      */
     fun whenCallersServed(limit: Duration, action: () -> Unit) = loop.execute {
         server.stop()
         callers.toList().forEach { it.closeIfIdle() }
         onCallersServed = action
         if (callers.isEmpty()) finishServing()
-        loop.schedule(::finishServing, limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        loop.schedule(::endServing, limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun endServing() {
+        callers.toList().forEach { it.refuseIncomplete() }
+        finishServing()
     }
 
     /**
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -6,7 +6,9 @@
 import java.security.SecureRandom
 import java.util.concurrent.Executors
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -59,6 +61,10 @@
 
     @Volatile
     private var ready = false
+
+    /** When the planned stop began, or null. */
+    @Volatile
+    private var drainBeganAt: TimeMark? = null
     private val published: PublishedSource = source(::offer)
     private val reservations: ReservationClient = reservations(::offer)
     private val scope = CoroutineScope(SupervisorJob() + timerDispatcher)
@@ -90,7 +96,7 @@
         handlers = EffectHandlers(
             setReady = { ready = it },
             exit = { code ->
-                traffic.whenCallersServed(drainTime) { onExit(code) }
+                traffic.whenCallersServed(timeToServeCallers()) { onExit(code) }
             },
             published = { published.execute(it) },
             forward = { traffic.execute(it) },
@@ -143,6 +149,7 @@
 
     /** Starts a planned stop. */
     fun drain() {
+        drainBeganAt = TimeSource.Monotonic.markNow()
         traffic.drain()
         offer(RuntimeEvent.DrainRequested)
     }
@@ -173,11 +180,19 @@
 
     private fun offer(event: Event) = control.offer(event)
 
+    private fun timeToServeCallers(): Duration {
+        val elapsed = drainBeganAt?.elapsedNow() ?: Duration.ZERO
+        return (drainTime - elapsed - EXIT_RESERVE).coerceAtLeast(Duration.ZERO)
+    }
+
     private fun readyPage() =
         if (ready) ProbePage(OK, "ready\n") else ProbePage(SERVICE_UNAVAILABLE, "not ready\n")
 
     private companion object {
         val SETTINGS_POLL_INTERVAL = 1.seconds
+
+        /** Part of the drain time that is kept for the end of the process itself. */
+        val EXIT_RESERVE = 100.milliseconds
         const val OK = 200
         const val SERVICE_UNAVAILABLE = 503
     }
