Answer open requests of an entry shortly before its drain limit

What callers saw: a caller of an entry whose request was still open at the end of the drain limit had its connection cut, in the middle of a stream or before any answer, and did not learn whether the work had run.

Cause: nothing in the reducer knew of the limit. `StopSignals` ended the process when it passed, with all requests open.

Change: the reducer sets a timer when the drain begins. 2 s before the limit (a quarter of it if it is short) each request whose answer is incomplete fails through the usual path: `draining` and `not_run` if nothing was handed to an endpoint, otherwise an error whose run state says what is known. Their leases are released. Complete answers that callers still read are left alone. The process then ends by itself, with exit code 1 as documented for the limit.

An agent needs no such step: it ends by closing its connections, and an entry moves the work to another endpoint or reports it (`reduceLeaseLost`).

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
@@ -35,6 +35,9 @@
     /** End of the wait for documents of peers after the start. */
     data object Startup : TimerId
 
+    /** Time shortly before the end of the longest planned stop of an entry. */
+    data object DrainLimit : TimerId
+
     /** Earliest time of the next order to the engine. */
     data object EngineOrder : TimerId
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryReducer.kt
@@ -7,17 +7,17 @@
 import org.gypsumroute.api.AnswerEvent
 import org.gypsumroute.api.CallerEvent
 import org.gypsumroute.api.Event
-import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.PeerEvent
 import org.gypsumroute.api.PeerMessage
 import org.gypsumroute.api.PlatformEvent
-import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.actions.reduceActionKeyIssued
 import org.gypsumroute.core.admission.reduceCaller
-import org.gypsumroute.core.drain.DrainPhase
+import org.gypsumroute.core.drain.failOpenRequests
+import org.gypsumroute.core.drain.finishDrain
+import org.gypsumroute.core.drain.limitDrain
 import org.gypsumroute.core.groups.reduceSegmentReady
 import org.gypsumroute.core.leases.reduceGrantIssued
 import org.gypsumroute.core.leases.reduceGrantRefused
@@ -47,6 +47,8 @@
 ): Step<EntryState> = when (event) {
     is RuntimeEvent.ClockRead -> expireRequests(state)
 
+    is RuntimeEvent.DrainRequested -> limitDrain(state, previous)
+
     is RuntimeEvent.TimerFired -> reduceEntryTimer(state, event.timer)
 
     is PlatformEvent.HostsRead ->
@@ -71,6 +73,7 @@
     is TimerId.Attempt -> reduceAttemptTimer(state, timer.request)
     is TimerId.PeerSilence -> reduceSilenceTimer(state, timer.peer)
     is TimerId.Heartbeat -> reduceEntryHeartbeat(state)
+    is TimerId.DrainLimit -> failOpenRequests(state)
     else -> state.step()
 }
 
@@ -94,17 +97,6 @@
     sendTo(state.common, host, PeerMessage.LeaseRenewal(leases.toList()))
 }
 
-private fun finishDrain(state: EntryState): Step<EntryState> {
-    val idle =
-        state.awaitingBody.isEmpty() && state.requests.isEmpty() && state.failedRequests.isEmpty()
-    return if (state.common.drain != DrainPhase.DRAINING || !idle) {
-        state.step()
-    } else {
-        state.copy(common = state.common.copy(drain = DrainPhase.FINISHED))
-            .step(logEffect(LogEvent.DRAIN_FINISHED), RuntimeEffect.Exit(0))
-    }
-}
-
 /** Applies a step to the state that all roles share. */
 internal inline fun EntryState.updateCommon(
     change: (CommonState) -> Step<CommonState>
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/EntryState.kt
@@ -1,5 +1,7 @@
 package org.gypsumroute.core
 
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentMapOf
@@ -23,6 +25,8 @@
  * admitted requests, and [failedRequests] those that failed and are still held by the front end.
  * [deadlines] may have entries of requests that have ended. [retryBudget] is the number of retries
  * that may be made now. [maxBufferedBytes] limits the bodies and answers buffered for all callers.
+ * [drainLimit] is the longest planned stop, and [drainLimitReached] whether open requests were
+ * failed because of it.
  */
 data class EntryState(
     override val common: CommonState,
@@ -36,7 +40,9 @@
     val buffers: BufferLedger = BufferLedger(),
     val retryBudget: Double = MAX_RETRY_BUDGET,
     val nextLeaseNumber: Long = 1,
-    val maxBufferedBytes: Bytes = Bytes(DEFAULT_BUFFERED_BYTES)
+    val maxBufferedBytes: Bytes = Bytes(DEFAULT_BUFFERED_BYTES),
+    val drainLimit: Duration = 10.minutes,
+    val drainLimitReached: Boolean = false
 ) : NodeState
 
 /** One organisation at one service; open requests are counted and limited for each such pair. */
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
@@ -34,7 +34,8 @@
         settings.node,
         EntryState(
             common = CommonState(identity, settings.node.timings, settings.policies),
-            maxBufferedBytes = settings.bufferedBytes
+            maxBufferedBytes = settings.bufferedBytes,
+            drainLimit = settings.node.drainLimit
         ),
         TrafficHandlers(
             caller = { exchanges.execute(it) },
--- a/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/PlannedStopTest.kt
+++ b/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/PlannedStopTest.kt
@@ -83,6 +83,22 @@
         }
     }
 
+    /** Guards against streams that the end of the drain limit cuts without a final event. */
+    @Test
+    fun `a stream that outlasts the drain limit ends with an error that says that it ran`() {
+        val plan = FleetPlan(entryOptions = listOf("--drain-limit", "3"))
+        ProcessFleet(plan).use { fleet ->
+            fleet.start()
+            val call = fleet.entries.single().stream("a menu", 5000)
+            call.awaitTokens(20)
+            val process = fleet.process("entry-1")
+            process.signal("TERM")
+            val outcome = call.await(10.seconds)
+            assertEquals("ran", outcome.runState, "$outcome; ${fleet.logTails()}")
+            assertEquals(1, process.awaitExit(5.seconds))
+        }
+    }
+
     private companion object {
         // 300,000 tokens, which take 15 s of prefill.
         const val LONG_BYTES = 1_200_000
