Make SIGHUP a planned stop of entries and agents

What callers saw: a SIGHUP, from a closed terminal or from a supervisor that reloads services with it, ended an entry or agent at once and cut its open requests.

Cause: only the gateway handles SIGHUP, to read its settings again. Entries and agents left it to the JVM, which ends the process.

Change: they have nothing to reload, so SIGHUP begins a planned stop like SIGTERM. Under nohup the JVM keeps ignoring it.

Evidence, with real processes, on the code before:

PlannedStopTest.SIGHUP of an agent and an entry is a planned stop:112 StreamOutcome(status=0, text=t0 t1 [...] t19 , isComplete=false, errorKind=connection: null, runState=null)

--- a/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
+++ b/gypsumroute-agent/src/main/kotlin/org/gypsumroute/agent/AgentProcess.kt
@@ -89,5 +89,6 @@
     lateinit var signals: StopSignals
     val process = AgentProcess(settings) { signals.finished(it) }
     signals = StopSignals({ settings.node.drainLimit }, process::drain)
+    signals.stopOnHangUp()
     return runUntilStopped(signals, process::start, process::stop)
 }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
@@ -104,5 +104,6 @@
     lateinit var signals: StopSignals
     val process = EntryProcess(settings) { signals.finished(it) }
     signals = StopSignals({ settings.node.drainLimit }, process::drain)
+    signals.stopOnHangUp()
     return runUntilStopped(signals, process::start, process::stop)
 }
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/StopSignals.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/StopSignals.kt
@@ -31,6 +31,12 @@
         Signal.handle(Signal("INT")) { interruptReceived() }
     }
 
+    /**
+     * Makes SIGHUP the same as SIGTERM, for processes that have nothing to reload. The JVM's
+     * default handler would end them with work still running.
+     */
+    fun stopOnHangUp() = Signal.handle(Signal("HUP")) { terminateReceived() }
+
     /** Begins a planned stop. A further call changes nothing. */
     fun terminateReceived() {
         if (!drainRequested.compareAndSet(false, true)) return
--- a/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/PlannedStopTest.kt
+++ b/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/PlannedStopTest.kt
@@ -99,6 +99,22 @@
         }
     }
 
+    /** Guards against open requests that are cut by a closed terminal or a reload of a service. */
+    @Test
+    fun `SIGHUP of an agent and an entry is a planned stop`() {
+        ProcessFleet(FleetPlan()).use { fleet ->
+            fleet.start()
+            val call = fleet.entries.single().stream("a menu", 300)
+            call.awaitTokens(20)
+            val stoppingProcesses = listOf("agent-1", "entry-1").map { fleet.process(it) }
+            stoppingProcesses.forEach { it.signal("HUP") }
+            val outcome = call.await(30.seconds)
+            assertTrue(outcome.isComplete, "$outcome; ${fleet.logTails()}")
+            assertEquals(numberedText(300), outcome.text)
+            for (process in stoppingProcesses) assertEquals(0, process.awaitExit(15.seconds))
+        }
+    }
+
     private companion object {
         // 300,000 tokens, which take 15 s of prefill.
         const val LONG_BYTES = 1_200_000
