Write decided answers before the gateway's event loop ends

What callers might have seen: a closed connection in place of an answer that the reducer had decided on just before the limit of a planned stop.

Cause, found by reading: `stop` lets the control thread process its queue, and the answers that come of it are tasks of the event loop. The shutdown of the loop, and the end of the process right after it, did not wait for them.

No test: which of the two came first depended on a race that no run here has shown. It matters when the reducer ends all open requests shortly before the limit.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -172,6 +172,8 @@
     /** Stops immediately without waiting for open requests. */
     fun stop() {
         control.stop()
+        // Answers that the reducer decided on before are written before the event loop ends.
+        loop.submit { }.awaitUninterruptibly(EXIT_RESERVE.inWholeMilliseconds)
         published.close()
         reservations.close()
         loop.shutdownGracefully()
