--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/EntryProcess.kt
@@ -34,7 +34,8 @@
         settings.node,
         EntryState(
             common = CommonState(identity, settings.node.timings, settings.policies),
-            maxBufferedBytes = settings.bufferedBytes
+            maxBufferedBytes = settings.bufferedBytes,
+            drainLimit = settings.node.drainLimit
         ),
         TrafficHandlers(
             caller = { exchanges.execute(it) },
@@ -102,6 +103,7 @@
     LogOutput.configure(settings.node.logFormat, settings.node.host)
     lateinit var signals: StopSignals
     val process = EntryProcess(settings) { signals.finished(it) }
-    signals = StopSignals(settings.node.drainLimit, process::drain)
+    signals = StopSignals({ settings.node.drainLimit }, process::drain)
+    signals.stopOnHangUp()
     return runUntilStopped(signals, process::start, process::stop)
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -7,7 +7,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
@@ -57,6 +56,14 @@
 
     /** Parts of pipelined requests, which wait until the current request has its response. */
     private val pipelined = ArrayDeque<HttpObject>()
+
+    /**
+     * Whether the connection closes after the current response. A planned stop closes it only after
+     * the pipelined requests that have been read completely, which have their own responses.
+     */
+    private val closesAfterResponse: Boolean
+        get() = !keepAlive || closing ||
+            (traffic.draining && pipelined.none { it is LastHttpContent })
     private var timeout: ScheduledFuture<*>? = null
     private var chunked = false
 
@@ -80,11 +87,9 @@
         }
         if (serving == null && !finishing) {
             process(message)
-        } else if (pipelined.size < MAX_PIPELINED_MESSAGES) {
-            pipelined.addLast(message)
         } else {
-            ReferenceCountUtil.release(message)
-            channel.close()
+            pipelined.addLast(message)
+            if (pipelined.size >= MAX_PIPELINED_MESSAGES) channel.config().isAutoRead = false
         }
     }
 
@@ -166,9 +171,20 @@
         )
     }
 
-    /** Closes the connection unless a request is being received or served. */
+    /**
+     * Closes the connection unless a request is being received or served. A scheduled task runs
+     * after the next pass over the sockets, so a request that the socket holds already is read and
+     * answered.
+     */
     fun closeIfIdle() {
-        if (isIdle) channel.close()
+        channel.eventLoop()
+            .schedule({ if (isIdle) channel.close() }, 0, TimeUnit.MILLISECONDS)
+    }
+
+    /** Refuses a request that has not arrived completely, because the process ends. */
+    fun refuseIncomplete() {
+        val incomplete = serving == null && !finishing && (requestStarted || receiving != null)
+        if (incomplete) refuseAndClose(ErrorKind.DRAINING, "the gateway stops")
     }
 
     private fun process(message: HttpObject) {
@@ -235,7 +251,7 @@
 
     private fun finish(last: HttpObject) {
         if (last is HttpResponse) setConnectionHeader(last)
-        val close = !keepAlive || closing || traffic.draining
+        val close = closesAfterResponse
         closing = close
         setTimeout(limits.idleTimeout) { channel.close() }
         serving = null
@@ -243,7 +259,7 @@
         finishing = true
         val written = channel.writeAndFlush(last)
         if (close) {
-            written.addListener(ChannelFutureListener.CLOSE)
+            written.addListener { closeAfterInput() }
         } else {
             written.addListener { processPipelined() }
         }
@@ -253,12 +269,13 @@
     private fun processPipelined() {
         finishing = false
         while (serving == null && !finishing && !closing) {
-            process(pipelined.removeFirstOrNull() ?: return)
+            process(pipelined.removeFirstOrNull() ?: break)
         }
+        if (pipelined.size < MAX_PIPELINED_MESSAGES) channel.config().isAutoRead = true
     }
 
     private fun setConnectionHeader(response: HttpResponse) {
-        if (!keepAlive || closing || traffic.draining) {
+        if (closesAfterResponse) {
             keepAlive = false
             response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
         }
@@ -272,9 +289,7 @@
     }
 
     /**
-     * Sends an error response and closes the connection. The caller may still be sending, and
-     * closing a socket with unread bytes resets the connection and loses the response. Therefore
-     * only the output is shut down at first, and input is discarded for [LINGERING_CLOSE_TIME].
+     * Sends an error response and closes the connection, although the caller may still be sending.
      */
     private fun refuseAndClose(kind: ErrorKind, detail: String) {
         if (closing) return
@@ -286,8 +301,7 @@
             kind,
             detail,
             retryAfter = RETRY_AFTER.takeIf {
-                kind ==
-                    ErrorKind.OVERLOADED
+                kind == ErrorKind.OVERLOADED || kind == ErrorKind.DRAINING
             }
         )
         val headers = refusalHeaders(failure)
@@ -298,10 +312,25 @@
             DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, TRAILERS)
         HttpUtil.setContentLength(response, body.readableBytes().toLong())
         traffic.requestRejected(failure)
-        channel.writeAndFlush(response).addListener {
-            (channel as? SocketChannel)?.shutdownOutput()
+        setTimeout(limits.idleTimeout) { channel.close() }
+        channel.writeAndFlush(response).addListener { closeAfterInput() }
+    }
+
+    /**
+     * Closes the connection without a reset. Closing a socket that has unread bytes, or receives
+     * some afterwards, resets the connection and loses what the caller has not read yet. Therefore
+     * only the output is shut down, and input is discarded until the caller closes its side, for at
+     * most [LINGERING_CLOSE_TIME].
+     */
+    private fun closeAfterInput() {
+        channel.config().isAutoRead = true
+        val socket = channel as? SocketChannel
+        if (socket == null) {
+            channel.close()
+        } else {
+            socket.shutdownOutput()
+            setTimeout(LINGERING_CLOSE_TIME) { channel.close() }
         }
-        setTimeout(LINGERING_CLOSE_TIME) { channel.close() }
     }
 
     private fun setTimeout(after: Duration, action: () -> Unit) {
@@ -313,7 +342,10 @@
     private val limits: CallerLimits get() = traffic.limits
 
     private companion object {
-        /** Maximum number of parts of pipelined requests that are kept while one is served. */
+        /**
+         * Number of parts of pipelined requests from which on nothing more is read until the
+         * request before them has its response. A disconnect is not noticed meanwhile.
+         */
         const val MAX_PIPELINED_MESSAGES = 64
         val LINGERING_CLOSE_TIME = 1.seconds
 
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -5,7 +5,10 @@
 import java.net.InetSocketAddress
 import java.security.SecureRandom
 import java.util.concurrent.Executors
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -58,6 +61,10 @@
 
     @Volatile
     private var ready = false
+
+    /** When the planned stop began, or null. */
+    @Volatile
+    private var drainBeganAt: TimeMark? = null
     private val published: PublishedSource = source(::offer)
     private val reservations: ReservationClient = reservations(::offer)
     private val scope = CoroutineScope(SupervisorJob() + timerDispatcher)
@@ -89,7 +96,7 @@
         handlers = EffectHandlers(
             setReady = { ready = it },
             exit = { code ->
-                traffic.whenCallersServed(settings.bounds.drainTime) { onExit(code) }
+                traffic.whenCallersServed(timeToServeCallers()) { onExit(code) }
             },
             published = { published.execute(it) },
             forward = { traffic.execute(it) },
@@ -127,6 +134,9 @@
     var readyPort = 0
         private set
 
+    /** Longest planned stop according to the settings in force. */
+    val drainTime: Duration get() = (control.state as GatewayState).bounds.drainTime
+
     /** Binds the ports and starts the control thread. Throws IOException if a port is in use. */
     fun start() {
         reports.start(settings.exchangeAddress)
@@ -139,6 +149,7 @@
 
     /** Starts a planned stop. */
     fun drain() {
+        drainBeganAt = TimeSource.Monotonic.markNow()
         traffic.drain()
         offer(RuntimeEvent.DrainRequested)
     }
@@ -161,6 +172,8 @@
     /** Stops immediately without waiting for open requests. */
     fun stop() {
         control.stop()
+        // Answers that the reducer decided on before are written before the event loop ends.
+        loop.submit { }.awaitUninterruptibly(EXIT_RESERVE.inWholeMilliseconds)
         published.close()
         reservations.close()
         loop.shutdownGracefully()
@@ -169,11 +182,19 @@
 
     private fun offer(event: Event) = control.offer(event)
 
+    private fun timeToServeCallers(): Duration {
+        val elapsed = drainBeganAt?.elapsedNow() ?: Duration.ZERO
+        return (drainTime - elapsed - EXIT_RESERVE).coerceAtLeast(Duration.ZERO)
+    }
+
     private fun readyPage() =
         if (ready) ProbePage(OK, "ready\n") else ProbePage(SERVICE_UNAVAILABLE, "not ready\n")
 
     private companion object {
         val SETTINGS_POLL_INTERVAL = 1.seconds
+
+        /** Part of the drain time that is kept for the end of the process itself. */
+        val EXIT_RESERVE = 100.milliseconds
         const val OK = 200
         const val SERVICE_UNAVAILABLE = 503
     }
@@ -195,7 +216,7 @@
     LogOutput.configure(settings.logFormat, settings.host)
     lateinit var signals: StopSignals
     val process = GatewayProcess(settings, codec, source, reservations) { signals.finished(it) }
-    signals = StopSignals(settings.bounds.drainTime) { process.drain() }
+    signals = StopSignals({ process.drainTime }) { process.drain() }
     Signal.handle(Signal("HUP")) { process.checkSettings(readSettings) }
     process.checkSettings { startEvents }
     process.watchSettings(readSettings)
--- a/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/PlannedStopTest.kt
+++ b/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/PlannedStopTest.kt
@@ -64,6 +64,57 @@
         }
     }
 
+    /** Guards against a repeated SIGTERM, as platforms send it, that cuts open requests. */
+    @Test
+    fun `a repeated SIGTERM cuts no request`() {
+        ProcessFleet(FleetPlan()).use { fleet ->
+            fleet.start()
+            val call = fleet.entries.single().stream("a menu", 300)
+            call.awaitTokens(20)
+            val stoppingProcesses = listOf("agent-1", "entry-1").map { fleet.process(it) }
+            repeat(3) {
+                stoppingProcesses.forEach { it.signal("TERM") }
+                Thread.sleep(100)
+            }
+            val outcome = call.await(30.seconds)
+            assertTrue(outcome.isComplete, "$outcome; ${fleet.logTails()}")
+            assertEquals(numberedText(300), outcome.text)
+            for (process in stoppingProcesses) assertEquals(0, process.awaitExit(15.seconds))
+        }
+    }
+
+    /** Guards against streams that the end of the drain limit cuts without a final event. */
+    @Test
+    fun `a stream that outlasts the drain limit ends with an error that says that it ran`() {
+        val plan = FleetPlan(entryOptions = listOf("--drain-limit", "3"))
+        ProcessFleet(plan).use { fleet ->
+            fleet.start()
+            val call = fleet.entries.single().stream("a menu", 5000)
+            call.awaitTokens(20)
+            val process = fleet.process("entry-1")
+            process.signal("TERM")
+            val outcome = call.await(10.seconds)
+            assertEquals("ran", outcome.runState, "$outcome; ${fleet.logTails()}")
+            assertEquals(1, process.awaitExit(5.seconds))
+        }
+    }
+
+    /** Guards against open requests that are cut by a closed terminal or a reload of a service. */
+    @Test
+    fun `SIGHUP of an agent and an entry is a planned stop`() {
+        ProcessFleet(FleetPlan()).use { fleet ->
+            fleet.start()
+            val call = fleet.entries.single().stream("a menu", 300)
+            call.awaitTokens(20)
+            val stoppingProcesses = listOf("agent-1", "entry-1").map { fleet.process(it) }
+            stoppingProcesses.forEach { it.signal("HUP") }
+            val outcome = call.await(30.seconds)
+            assertTrue(outcome.isComplete, "$outcome; ${fleet.logTails()}")
+            assertEquals(numberedText(300), outcome.text)
+            for (process in stoppingProcesses) assertEquals(0, process.awaitExit(15.seconds))
+        }
+    }
+
     private companion object {
         // 300,000 tokens, which take 15 s of prefill.
         const val LONG_BYTES = 1_200_000
