Refuse what has not arrived when an entry reaches its drain limit

Requests whose bodies are awaited are now refused as not run with the others. The new test failed before: no failure for the request.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/AdmissionReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/AdmissionReducer.kt
@@ -35,6 +35,7 @@
 import org.gypsumroute.core.requests.retry
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
 
 internal fun reduceCaller(state: EntryState, event: CallerEvent): Step<EntryState> = when (event) {
     is CallerEvent.Opened -> reduceOpened(state, event)
@@ -179,6 +180,12 @@
         else -> place(state, record)
     }
 
+/** Refuses the requests whose bodies have not arrived yet, because the entry ends. */
+internal fun refuseAwaitedBodies(state: EntryState): Step<EntryState> =
+    state.step().thenEach(state.awaitingBody.keys) { next, request ->
+        refuse(next, request, failureWithRetryAdvice(next, ErrorKind.DRAINING, "the entry stops"))
+    }
+
 /**
  * Refuses a request that was not admitted. If [callerNotified], the front end has already answered
  * the caller, so no effect to answer it is added.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/drain/EntryDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/drain/EntryDrain.kt
@@ -14,6 +14,7 @@
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.WorkKind
 import org.gypsumroute.core.EntryState
+import org.gypsumroute.core.admission.refuseAwaitedBodies
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.requests.RequestPhase
 import org.gypsumroute.core.requests.RequestRecord
@@ -29,10 +30,13 @@
     return state.step(RuntimeEffect.SetTimer(TimerId.DrainLimit, state.drainLimit - reserve))
 }
 
-/** Fails all requests whose answer is incomplete; complete answers are still delivered. */
+/**
+ * Fails all requests whose answer is incomplete, also those whose body is still arriving; complete
+ * answers are still delivered.
+ */
 internal fun failOpenRequests(state: EntryState): Step<EntryState> {
     val open = state.requests.values.filter { it.phase != RequestPhase.DELIVERING }
-    return state.copy(drainLimitReached = true).step().thenEach(open) { next, record ->
+    return refuseAwaitedBodies(state.copy(drainLimitReached = true)).thenEach(open) { next, record ->
         fail(next, record, stopKind(next, record), "the entry stops")
     }
 }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/drain/EntryDrainTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/drain/EntryDrainTest.kt
@@ -107,18 +107,32 @@
         entry.open("1")
         drain()
         assertEquals(ErrorKind.DRAINING, entry.generate("2").failureOf("2").kind)
-        entry.feed(
-            CallerEvent.GenerationArrived(
-                request = RequestId("1"),
-                service = ServiceId("menu-writer"),
-                keyDigest = "digest-1",
-                promptTokens = Tokens(100),
-                bodyBytes = Bytes(100),
-                outputLimit = Tokens(10),
-                timeout = 10.seconds,
-                prefix = PrefixDigest(7)
-            )
-        )
+        bodyArrives("1")
         assertTrue(entry.leases("1").isNotEmpty())
     }
+
+    /** Such a request was admitted seconds before the limit, which then cut it off. */
+    @Test
+    fun `a request whose body has not arrived at the limit is refused as not run`() {
+        entry.open("1")
+        drain()
+        val failure = reachLimit().failureOf("1")
+        assertEquals(ErrorKind.DRAINING to RunState.NOT_RUN, failure.kind to failure.runState)
+        bodyArrives("1")
+        assertTrue(entry.leases("1").isEmpty())
+        assertEquals(listOf(1), entry.feed(CallerEvent.AnswerTaken(RequestId("1"))).exitCodes())
+    }
+
+    private fun bodyArrives(id: String) = entry.feed(
+        CallerEvent.GenerationArrived(
+            request = RequestId(id),
+            service = ServiceId("menu-writer"),
+            keyDigest = "digest-1",
+            promptTokens = Tokens(100),
+            bodyBytes = Bytes(100),
+            outputLimit = Tokens(10),
+            timeout = 10.seconds,
+            prefix = PrefixDigest(7)
+        )
+    )
 }
