Keep the time for last answers when settings shorten the drain time

The end is now fixed when the stop begins, as in the gateway's control state. By reading; not reproduced in a test.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -62,9 +62,12 @@
     @Volatile
     private var ready = false
 
-    /** When the planned stop began, or null. */
+    /**
+     * When the planned stop ends at the latest, or null before it began. Settings that change later
+     * do not shorten the time for the last answers.
+     */
     @Volatile
-    private var drainBeganAt: TimeMark? = null
+    private var drainEndsAt: TimeMark? = null
     private val published: PublishedSource = source(::offer)
     private val reservations: ReservationClient = reservations(::offer)
     private val scope = CoroutineScope(SupervisorJob() + timerDispatcher)
@@ -149,7 +152,7 @@
 
     /** Starts a planned stop. */
     fun drain() {
-        drainBeganAt = TimeSource.Monotonic.markNow()
+        drainEndsAt = TimeSource.Monotonic.markNow() + drainTime
         traffic.drain()
         offer(RuntimeEvent.DrainRequested)
     }
@@ -183,8 +186,8 @@
     private fun offer(event: Event) = control.offer(event)
 
     private fun timeToServeCallers(): Duration {
-        val elapsed = drainBeganAt?.elapsedNow() ?: Duration.ZERO
-        return (drainTime - elapsed - EXIT_RESERVE).coerceAtLeast(Duration.ZERO)
+        val timeLeft = drainEndsAt?.let { -it.elapsedNow() } ?: drainTime
+        return (timeLeft - EXIT_RESERVE).coerceAtLeast(Duration.ZERO)
     }
 
     private fun readyPage() =
