Tell callers of a stopping gateway when one is expected to be ready

Callers that a stopping gateway refused were told to come back after 0.5 s. If all gateways stop, that is before the first is back: they were refused again, or found no gateway that listens, and gave up. If another gateway is ready, 0.5 s was longer than necessary.

Now a refusal in a stop says 0.05 s while another gateway reports that it is ready. Otherwise it names the time at which the first is expected back: a silent one 2 s after its last report (0.3 s after the start of its process, which follows 1.5 s after the end of the last one), one that still reports 2 s after the usual 5 s of a stop (last open request at 4.6 to 6.5 s in six stops). When the members' stops began is known from their reports.

Two of the three new tests failed before, with 0.5 s; the third guards the time for a gateway that starts again.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -16,8 +16,8 @@
 
 /**
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
- * endpoints of the published records. [drainEndsAt] is the time at which open requests are ended
- * because of a planned stop, or null without one; [refusingNew] tells whether new requests are
+ * endpoints of the published records. A planned stop began at [drainStartedAt] and ends open
+ * requests at [drainEndsAt]; both are null without one. [refusingNew] tells whether new requests are
  * refused because of it.
  */
 data class GatewayState(
@@ -30,6 +30,7 @@
     val requests: PersistentMap<RequestId, ForwardRecord> = persistentMapOf(),
     val retryBudgets: PersistentMap<ServiceId, RetryBudget> = persistentMapOf(),
     val nextAttempt: Long = 1,
+    val drainStartedAt: Moment? = null,
     val drainEndsAt: Moment? = null,
     val refusingNew: Boolean = false
 ) : NodeState
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
@@ -110,7 +110,7 @@
     kind: ErrorKind,
     detail: String
 ): Step<GatewayState> {
-    val retryAfter = RETRY_AFTER.takeIf { kind.retry == RetryAdvice.LATER }
+    val retryAfter = retryAfter(state).takeIf { kind.retry == RetryAdvice.LATER }
     return state.step(
         logEffect(
             LogEvent.REQUEST_REFUSED,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -57,7 +57,12 @@
     val previousLoads =
         previous?.takeIf { it.report.incarnation == report.incarnation }?.latestLoads
             ?: persistentMapOf()
-    val member = Member(report, now, previousLoads.putAll(report.loads))
+    val member = Member(
+        report,
+        now,
+        previousLoads.putAll(report.loads),
+        stoppingSince(previous, report, now)
+    )
     val next = exchange.copy(
         members = exchange.members.put(from, member),
         discovered = exchange.discovered.remove(from).putAll(newAddresses.associateWith { now })
@@ -81,6 +86,12 @@
     }
 }
 
+private fun stoppingSince(previous: Member?, report: GatewayReport, now: Moment): Moment? = when {
+    report.ready || previous?.report?.incarnation != report.incarnation -> null
+    previous.report.ready -> now
+    else -> previous.stoppingSince
+}
+
 /**
  * Sends the periodic report. It also goes to seeds and discovered addresses, so gateways find each
  * other by it.
@@ -222,7 +233,7 @@
 private val MEMBER_DISCOVERY_TIME: Duration = 2.seconds
 
 /** The work in an older report has probably ended. */
-private val LOAD_VALIDITY: Duration = 1500.milliseconds
+internal val LOAD_VALIDITY: Duration = 1500.milliseconds
 
 /** Members that were silent for longer are not listed in reports. */
 private val MEMBER_LISTING_TIME: Duration = 2.seconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeState.kt
@@ -29,9 +29,11 @@
 /**
  * Another gateway: its latest report, received at [lastReportAt], and the load that it reported
  * last for each endpoint, also for endpoints that the latest report no longer lists.
+ * [stoppingSince] is the time since which it reports that it is not ready although it was, or null.
  */
 data class Member(
     val report: GatewayReport,
     val lastReportAt: Moment,
-    val latestLoads: PersistentMap<EndpointId, EngineLoad>
+    val latestLoads: PersistentMap<EndpointId, EngineLoad>,
+    val stoppingSince: Moment? = null
 )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
@@ -36,7 +36,8 @@
     val answerReserve = minOf(LAST_ANSWERS_RESERVE, drainTime * LAST_ANSWERS_FRACTION)
     val openTime = drainTime - answerReserve
     val acceptTime = minOf(BALANCER_REACTION_TIME, drainTime * ACCEPT_FRACTION)
-    return state.copy(drainEndsAt = state.common.now + openTime)
+    val now = state.common.now
+    return state.copy(drainStartedAt = now, drainEndsAt = now + openTime)
         .onCommon { reduceDrainRequested(it) }
         .then {
             it.step(
@@ -116,9 +117,6 @@
         .step(logEffect(LogEvent.DRAIN_FINISHED), RuntimeEffect.Exit(0))
 }
 
-private fun otherGatewayReady(state: GatewayState): Boolean =
-    recentPeerReports(state).any { it.ready }
-
 /**
  * Time within which the load balancer notices that the gateway is not ready: it probes once a
  * second and takes a process out after two failed probes.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -4,7 +4,6 @@
 package org.gypsumroute.core.gateway
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.ErrorKind
@@ -73,7 +72,7 @@
     detail: String
 ): Step<GatewayState> {
     val runState = if (record.mayHaveRun) RunState.UNKNOWN else RunState.NOT_RUN
-    val retryAfter = RETRY_AFTER.takeIf { runState == RunState.NOT_RUN }
+    val retryAfter = retryAfter(state).takeIf { runState == RunState.NOT_RUN }
     val effect = if (record.answerStarted) {
         ForwardEffect.Cut(record.request)
     } else {
@@ -163,6 +162,3 @@
 
 private fun Step<GatewayState>.andThen(vararg effects: Effect): Step<GatewayState> =
     then { it.step(*effects) }
-
-/** Time after which a caller may send a request again that did not run. */
-val RETRY_AFTER: Duration = 500.milliseconds
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayDrainTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayDrainTest.kt
@@ -98,6 +98,41 @@
         assertTrue(failure.retryAfter != null)
     }
 
+    private fun GatewayHarness.retryAfterRefusal(): Duration {
+        arrive("refused", headOf("/stream/x", prompt = 100))
+        return refusals.single().failure.retryAfter!!
+    }
+
+    /** Callers that came back after 0.5 s were refused a second time, and gave up. */
+    @Test
+    fun `callers are told to come back when a gateway is expected to be ready`() {
+        val harness = drainingHarness(peerReady = false)
+        harness.feed(peerReport(2, ready = true))
+        harness.feed(peerReport(3, ready = false))
+        harness.advance(1.seconds)
+        harness.feed(peerReport(4, ready = false))
+        val own = harness.retryAfterRefusal()
+        assertTrue(own in 3.seconds..5.seconds, "$own")
+        harness.advance(1.seconds)
+        assertTrue(harness.retryAfterRefusal() <= own - 1.seconds)
+    }
+
+    @Test
+    fun `callers are told to come back at once if another gateway is ready`() {
+        val harness = drainingHarness()
+        harness.advance(600.milliseconds)
+        assertTrue(harness.retryAfterRefusal() <= 100.milliseconds)
+    }
+
+    @Test
+    fun `callers are told to come back earlier to a gateway that is starting again`() {
+        val harness = drainingHarness(peerReady = false)
+        harness.advance(1600.milliseconds)
+        assertTrue(harness.retryAfterRefusal() <= RETRY_AFTER)
+        harness.feed(reportFrom("10.0.0.2", incarnation = "2", ready = false))
+        assertEquals(RETRY_AFTER, harness.retryAfterRefusal())
+    }
+
     @Test
     fun `the process exits when the last request has ended`() {
         val harness = drainingHarness()
