Never answer a request that may have run with a status that promises it did not

A repeatable request that waited for memory after a lost attempt was answered 503 when a planned stop refused the waiting ones; the same kind of answer (overloaded) was possible when the memory was not to be had. Callers take 503 as a promise.

The new test failed before: expected 504 but was 503.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -64,13 +64,18 @@
     ForwardEffect.RelayFailure(record.request)
 )
 
-/** Ends a request with an error, or breaks off its answer if a part was already passed on. */
+/**
+ * Ends a request with an error, or breaks off its answer if a part was already passed on. A kind
+ * whose status promises that nothing ran is replaced if the request may have run.
+ */
 internal fun endWithError(
     state: GatewayState,
     record: ForwardRecord,
-    kind: ErrorKind,
+    error: ErrorKind,
     detail: String
 ): Step<GatewayState> {
+    val promisesNotRun = error.runState == RunState.NOT_RUN
+    val kind = if (record.mayHaveRun && promisesNotRun) ErrorKind.ENDPOINT_LOST else error
     val runState = if (record.mayHaveRun) RunState.UNKNOWN else RunState.NOT_RUN
     val retryAfter = retryAfter(state).takeIf { runState == RunState.NOT_RUN }
     val effect = if (record.answerStarted) {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayDrainTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayDrainTest.kt
@@ -261,6 +261,19 @@
         assertEquals(emptyList(), harness.sends)
     }
 
+    /** Its status promised that nothing had run, although the first attempt may have. */
+    @Test
+    fun `a request that waits for memory after a lost attempt is not answered as not run`() {
+        val harness = engines()
+        harness.arrive("1", headOf("/stream/x", prompt = 900_000, deadline = 10.seconds))
+        harness.reserves().forEach { harness.feed(ReservationEvent.Reserved(it.reservation)) }
+        harness.feed(RuntimeEvent.DrainRequested)
+        harness.endAttempt("1", lost)
+        assertTrue(harness.reserves().isNotEmpty())
+        harness.advance(2600.milliseconds)
+        assertEquals(504, harness.refusals.single().failure.kind.httpStatus)
+    }
+
     /** The settings are read again every second and on SIGHUP. */
     @Test
     fun `settings that change during a stop do not move its end`() {
