Let the clock decide when a planned stop refuses new requests

The end of the accepting time is now part of the state. The property test derives lateness from the promise (2.5 s after SIGTERM) instead of from the effect that the code under test emits, asks that open requests have ended 0.3 s before the limit, and that no request that may have run is answered 408, 421, 429 or 503.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -16,9 +16,9 @@
 
 /**
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
- * endpoints of the published records. A planned stop began at [drainStartedAt] and ends open
- * requests at [drainEndsAt]; both are null without one. [refusingNew] tells whether new requests are
- * refused because of it.
+ * endpoints of the published records. A planned stop began at [drainStartedAt], accepts new requests
+ * until [acceptsUntil] and ends open requests at [drainEndsAt]; all are null without one.
+ * [refusingNew] tells whether the requests that wait for memory were refused as well.
  */
 data class GatewayState(
     override val common: CommonState,
@@ -31,6 +31,7 @@
     val retryBudgets: PersistentMap<ServiceId, RetryBudget> = persistentMapOf(),
     val nextAttempt: Long = 1,
     val drainStartedAt: Moment? = null,
+    val acceptsUntil: Moment? = null,
     val drainEndsAt: Moment? = null,
     val refusingNew: Boolean = false
 ) : NodeState
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
@@ -28,7 +28,7 @@
     val route = routes.find(head.hostName, head.path)
     val organisation = head.keyDigest?.let { routes.organisation(it) }
     return when {
-        state.refusingNew -> refuse(state, event, ErrorKind.DRAINING, "the gateway stops")
+        refusesNew(state) -> refuse(state, event, ErrorKind.DRAINING, "the gateway stops")
 
         // Without a routing table, valid routes and keys cannot be told from invalid ones.
         table == null -> refuse(state, event, ErrorKind.NOT_READY, "no routing table")
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
@@ -37,7 +37,12 @@
     val openTime = drainTime - answerReserve
     val acceptTime = minOf(BALANCER_REACTION_TIME, drainTime * ACCEPT_FRACTION)
     val now = state.common.now
-    return state.copy(drainStartedAt = now, drainEndsAt = now + openTime)
+    return state
+        .copy(
+            drainStartedAt = now,
+            acceptsUntil = now + acceptTime,
+            drainEndsAt = now + openTime
+        )
         .onCommon { reduceDrainRequested(it) }
         .then {
             it.step(
@@ -64,17 +69,24 @@
         ),
         ForwardEffect.CloseIdleCallers
     ).thenEach(waiting) { next, record ->
-        endWithError(next, record, ErrorKind.DRAINING, "the gateway stops")
+        endForStop(next, record)
     }
 }
 
+/**
+ * Whether new requests are refused because of a planned stop. The clock decides, since the timer
+ * may come later than requests that arrived after its time.
+ */
+internal fun refusesNew(state: GatewayState): Boolean =
+    state.refusingNew || state.acceptsUntil.let { it != null && state.common.now >= it }
+
 /**
  * Whether an attempt that starts now is over before the planned stop, whatever its endpoint does.
  * An answer that has started may go on in any case, because it would be cut off otherwise.
  */
 internal fun endsBeforeStop(state: GatewayState, record: ForwardRecord): Boolean {
     val drainEndsAt = state.drainEndsAt ?: return true
-    return !state.refusingNew || record.answerStarted || record.deadline <= drainEndsAt
+    return !refusesNew(state) || record.answerStarted || record.deadline <= drainEndsAt
 }
 
 /** Ends the requests that are still open shortly before the process has to end. */
@@ -89,10 +101,10 @@
             "caller_requests" to open.take(MAX_LISTED_REQUESTS)
                 .joinToString(" ") { it.head.callerRequestId }
         )
-    ).thenEach(open.toList()) { next, record -> endBeforeStop(next, record) }
+    ).thenEach(open.toList()) { next, record -> endForStop(next, record) }
 }
 
-private fun endBeforeStop(state: GatewayState, record: ForwardRecord): Step<GatewayState> {
+private fun endForStop(state: GatewayState, record: ForwardRecord): Step<GatewayState> {
     val mayHaveRun = record.mayHaveRun || record.openAttempts.isNotEmpty()
     val ended = record.copy(mayHaveRun = mayHaveRun)
     return when {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryAfter.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryAfter.kt
@@ -17,7 +17,7 @@
  * to another one if there is one that is ready, else to the first that is expected to be back.
  */
 internal fun retryAfter(state: GatewayState): Duration = when {
-    !state.refusingNew -> RETRY_AFTER
+    !refusesNew(state) -> RETRY_AFTER
     otherGatewayReady(state) -> RETRY_AFTER_AT_OTHER_GATEWAY
     else -> timeUntilGatewayReturns(state)
 }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPropertyTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPropertyTest.kt
@@ -78,7 +78,6 @@
     private val coldSends = HashMap<EndpointId, ArrayList<Moment>>()
     private var nextRequest = 0
     private var nextVersion = 1L
-    private var refusingNew = false
     private var drainedAt: Moment? = null
     private var pausedInDrain = false
     private var exits = 0
@@ -159,7 +158,7 @@
         val head = headOf(path, prompt = prompt, deadline = random.nextInt(1, 12_000).milliseconds)
         return harness.arrive(id.value, head).also {
             requests.getValue(id).deadline = harness.state.requests[id]?.deadline
-            requests.getValue(id).cameAfterRefusal = refusingNew
+            requests.getValue(id).cameAfterRefusal = acceptTimeIsOver()
         }
     }
 
@@ -334,8 +333,6 @@
 
                 is ReservationEffect.Release -> reserved -= effect.reservation
 
-                is ForwardEffect.CloseIdleCallers -> refusingNew = true
-
                 is RuntimeEffect.Exit -> verifyExit()
 
                 else -> Unit
@@ -375,7 +372,7 @@
 
     /** An attempt that starts late in a planned stop has to be over before its end. */
     private fun verifySendInDrain(request: ModelRequest) {
-        if (!refusingNew) return
+        if (!acceptTimeIsOver()) return
         check(!request.cameAfterRefusal, "accepted after the refusal of new requests began")
         val drainEnd = drainedAt!! + sampleBounds.drainTime
         check(
@@ -384,12 +381,16 @@
         )
     }
 
+    private fun acceptTimeIsOver(): Boolean =
+        drainedAt?.let { harness.now >= it + ACCEPT_TIME } ?: false
+
     private fun verifyExit() {
         exits++
         check(requests.values.all { it.ended }, "open at the exit")
         val exitedAt = harness.exitedAt!!
         check(
-            pausedInDrain || exitedAt < drainedAt!! + sampleBounds.drainTime,
+            pausedInDrain ||
+                exitedAt <= drainedAt!! + (sampleBounds.drainTime - LAST_ANSWERS_TIME),
             "exit only ${exitedAt - drainedAt!!} after the start of the stop"
         )
     }
@@ -431,6 +432,11 @@
         check(!it.answerStarted, "refused after the answer started")
         val notRun = effect.failure.runState == RunState.NOT_RUN
         check(!notRun || !it.mayHaveRun, "refused as not run though it may have run")
+        val status = effect.failure.kind.httpStatus
+        check(
+            !it.mayHaveRun || status !in STATUSES_OF_NOT_RUN,
+            "answered $status though it may have run"
+        )
     }
 
     private fun verifyEnd(id: RequestId, verify: (ModelRequest) -> Unit) {
@@ -448,6 +454,12 @@
         assertTrue(holds, "seed $seed at ${harness.now}: $violation")
 
     private companion object {
+        /** Time after SIGTERM in which new requests are accepted. */
+        val ACCEPT_TIME = 2500.milliseconds
+
+        /** Time that the last answers of a planned stop have to be written. */
+        val LAST_ANSWERS_TIME = 300.milliseconds
+        val STATUSES_OF_NOT_RUN = setOf(408, 421, 429, 503)
         const val COLD_RATE = 26
         const val COLD_FACTOR = 1.5
         const val COLD_SLACK = 5
