--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -16,9 +16,10 @@
 
 /**
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
- * endpoints of the published records. A planned stop began at [drainStartedAt] and ends open
- * requests at [drainEndsAt]; both are null without one. [refusingNew] tells whether new requests are
- * refused because of it.
+ * endpoints of the published records.
+ *
+ * A planned stop began at [drainStartedAt] and ends open requests at [drainEndsAt]; both are null
+ * without one. [refusingNew] tells whether new requests are refused because of it.
  */
 data class GatewayState(
     override val common: CommonState,
