--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -16,9 +16,11 @@
 
 /**
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
- * endpoints of the published records. A planned stop began at [drainStartedAt], accepts new requests
- * until [acceptsUntil] and ends open requests at [drainEndsAt]; all are null without one.
- * [refusingNew] tells whether the requests that wait for memory were refused as well.
+ * endpoints of the published records.
+ *
+ * A planned stop began at [drainStartedAt], accepts new requests until [acceptsUntil] and ends open
+ * requests at [drainEndsAt]; all are null without one. [refusingNew] tells whether requests that
+ * wait for memory were refused as well.
  */
 data class GatewayState(
     override val common: CommonState,
