--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -54,6 +54,7 @@
     }
     return released
         .step(attemptLog(record, attempt.endpoint, outcome), countAttempt(record, outcome))
+        .then { if (outcome.connectionLost) noteConnectionLost(it, record, attempt) else it.step() }
         .then { next ->
             if (attempt == record.stalledAttempt) {
                 val replaced = record.withoutAttempt(attempt)
@@ -110,7 +111,8 @@
     val repetition = record.route.repetition
     val safeToRunAgain = !record.mayHaveRun || repetition != Repetition.AT_MOST_ONCE
     val answerAllowsRetry = !record.answerStarted || repetition == Repetition.RESUMABLE
-    return safeToRunAgain && answerAllowsRetry && record.sendCount < record.route.maxAttempts &&
+    return safeToRunAgain && answerAllowsRetry && endsBeforeStop(state, record) &&
+        record.sendCount < record.route.maxAttempts &&
         record.deadline - state.common.now > MIN_ATTEMPT_TIME && retryBudgetAllows(state, record)
 }
 
@@ -180,6 +182,13 @@
     else -> true
 }
 
+private val AttemptOutcome.connectionLost: Boolean
+    get() = when (this) {
+        is AttemptOutcome.Lost -> connectionLost
+        is AttemptOutcome.Broken -> connectionLost
+        else -> false
+    }
+
 private fun causeOf(outcome: AttemptOutcome): String = when (outcome) {
     is AttemptOutcome.Completed -> "completed"
     is AttemptOutcome.Failed -> "endpoint answered ${outcome.status}"
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -18,6 +18,7 @@
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Step
+import org.gypsumroute.api.Tokens
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.logEffect
 
@@ -115,7 +116,13 @@
 ): Step<GatewayState> {
     val now = state.common.now
     val endpoint = state.endpoints.getValue(choice.endpoint)
-    val attempt = Attempt(AttemptId(state.nextAttempt), choice.endpoint, choice.helpers)
+    val attempt = Attempt(
+        AttemptId(state.nextAttempt),
+        choice.endpoint,
+        choice.helpers,
+        sentAt = now,
+        startStamp = endpoint.record.startStamp
+    )
     val sent = record.copy(
         attempt = attempt,
         sendCount = record.sendCount + 1,
@@ -162,9 +169,25 @@
     "read_time" to choice.prefillTime,
     "open" to endpoint.work.size,
     "expected_first_event" to choice.predictedFirstByte,
-    "remaining" to (record.deadline - state.common.now)
+    "expected_time" to predictedTime(state, record, choice),
+    "remaining" to (record.deadline - state.common.now),
+    "stop_in" to timeUntilStop(state)
 )
 
+/** Predicted time until the end of the answer; no decision depends on it. */
+private fun predictedTime(
+    state: GatewayState,
+    record: ForwardRecord,
+    choice: ForwardChoice
+): Duration {
+    val profile = state.published.table?.services?.get(record.service)?.engine
+        ?: return record.route.objective
+    val model = EngineModel(profile)
+    val load = state.endpoints[choice.endpoint]?.ownLoad()?.context ?: 0
+    val pass = model.passTime(model.slots, load + record.size.context)
+    return choice.predictedFirstByte + model.decodeTime(Tokens(record.size.output), pass)
+}
+
 /** Adds the request's work to the endpoint and its helpers. */
 private fun endpointsWithWork(
     state: GatewayState,
