Refuse requests with a part of a prompt that crashes endpoints

Callers saw one endpoint after the other end: each request with the part ended one, its second attempt another, and all that stood at them broke off.

Cause: a gateway judged endpoints only, never the request, so what limits the damage of a faulty endpoint (retry elsewhere, leave it out) spread that of a faulty input.

Change: a connection that is lost before an answer is under way counts against the shared parts of the prompt, once for each start of an endpoint; a complete answer clears them. A part is suspect after losses at three endpoints, some sent after others had ended, while at least two requests without it were served. Parts that others explain are not refused; a part is refused to the organisations concerned, and to all once these are two. Evidence and clearances travel in the reports, merged, a loss within 50 ms. A request with a suspect part gets 503 `prompt_part_blocked` at once, one that ended an endpoint no further attempt and 502. One request at a time may try the part again, after 2 s, 32 s, 8.5 and 10 minutes, and the gateways take turns at it.

The check of the size of a report with work at sixteen engines is as strict as before: its random report is taken without crashes, as all reports were; the largest report of crashes has a check of its own.

--- /dev/null
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/CrashReport.kt
@@ -0,0 +1,34 @@
+/*
+ * What a gateway reports to the others of parts of prompts under which endpoints ended. Times are
+ * ages, since the clocks of two processes cannot be compared.
+ */
+package org.gypsumroute.api
+
+import kotlin.time.Duration
+
+/** Evidence about some parts, and parts that were since found in complete answers. */
+data class CrashReport(
+    val suspicions: List<ReportedSuspicion> = emptyList(),
+    val clearances: List<ReportedClearance> = emptyList()
+)
+
+/**
+ * The latest [losses] of endpoints under [part]. [othersServed] counts requests without the part
+ * that were served since the first loss.
+ */
+data class ReportedSuspicion(
+    val part: PromptPartId,
+    val othersServed: Int,
+    val losses: List<ReportedLoss>
+)
+
+/** The connection of an attempt at [start] was lost before an answer of it was under way. */
+data class ReportedLoss(
+    val start: EndpointStart,
+    val organisation: OrganisationDigest,
+    val sentAgo: Duration,
+    val lostAgo: Duration
+)
+
+/** A request with [part] was answered completely. */
+data class ReportedClearance(val part: PromptPartId, val ago: Duration)
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ErrorKind.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ErrorKind.kt
@@ -45,6 +45,7 @@
     DRAINING("draining", 503, NOT_RUN, LATER),
     DATA_CENTRE_OUT("data_centre_out", 503, NOT_RUN, LATER),
     NOT_READY("not_ready", 503, NOT_RUN, LATER),
+    PROMPT_PART_BLOCKED("prompt_part_blocked", 503, NOT_RUN, LATER),
     DEADLINE_UNREACHABLE("deadline_unreachable", 503, NOT_RUN, LATER),
     DEADLINE_EXCEEDED("deadline_exceeded", 504, UNKNOWN, CALLER_DECIDES),
     LEASE_EXPIRED("lease_expired", 503, UNKNOWN, CALLER_DECIDES),
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
@@ -8,6 +8,7 @@
  * so a lost report is not repeated. [revision] is that of the records it holds, and
  * [storeReachable] tells whether its last read of the store succeeded. [members] are the gateways
  * that it hears from. [ready] tells whether the load balancer may send it new connections.
+ * [crashes] is what it knows of prompts under which endpoints ended.
  */
 data class GatewayReport(
     val host: HostId,
@@ -17,5 +18,6 @@
     val storeReachable: Boolean,
     val ready: Boolean,
     val loads: Map<EndpointId, EngineLoad>,
-    val members: List<EndpointAddress>
+    val members: List<EndpointAddress>,
+    val crashes: CrashReport = CrashReport()
 )
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
@@ -53,6 +53,12 @@
     MEMORY_RELEASED(4011, LogLevel.INFO, "reserved memory released"),
     ATTEMPT_STALLED(4012, LogLevel.WARN, "an attempt is silent for longer than its limit"),
     CONNECTION_LOST(4013, LogLevel.WARN, "an endpoint's connection was lost during a request"),
+    PROMPT_PART_BLOCKED(4014, LogLevel.WARN, "requests with a part of a prompt are refused"),
+    PROMPT_PART_CLEARED(
+        4015,
+        LogLevel.INFO,
+        "a part of a prompt was answered and is allowed again"
+    ),
     LEASE_EXPIRED(5001, LogLevel.WARN, "lease expired; its work is cancelled"),
     ORPHAN_STREAM(5002, LogLevel.WARN, "engine holds a stream without a lease; cancelling it"),
     ORPHAN_HANDLE(5003, LogLevel.WARN, "engine holds a cache handle without a lease; releasing it"),
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
@@ -20,5 +20,9 @@
     LOADS_REJECTED(
         "gypsumroute_loads_rejected_total",
         "Loads stated by endpoints that could not be used"
+    ),
+    PROMPT_PARTS_BLOCKED(
+        "gypsumroute_prompt_parts_blocked_total",
+        "Decisions to refuse requests with a part of a prompt, or to refuse them for longer"
     )
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -7,6 +7,7 @@
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ServiceId
+import org.gypsumroute.core.gateway.CrashEvidence
 import org.gypsumroute.core.gateway.EndpointState
 import org.gypsumroute.core.gateway.ExchangeState
 import org.gypsumroute.core.gateway.ForwardRecord
@@ -28,6 +29,7 @@
     val endpoints: PersistentMap<EndpointId, EndpointState> = persistentMapOf(),
     val requests: PersistentMap<RequestId, ForwardRecord> = persistentMapOf(),
     val retryBudgets: PersistentMap<ServiceId, RetryBudget> = persistentMapOf(),
+    val crashes: CrashEvidence = CrashEvidence(),
     val nextAttempt: Long = 1,
     val drainStartedAt: Moment? = null,
     val refusingNew: Boolean = false
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
@@ -54,6 +54,8 @@
     val deadline =
         RuntimeEffect.SetTimer(TimerId.ForwardDeadline(record.request), record.deadline - now)
     return accepted.step(deadline).then { next ->
+        val blocked = findBlockedPart(next, record)
+        if (blocked != null) return@then endBlocked(next, record, blocked)
         val choice = next.policies.placement(placementInputFor(next, record))
         when {
             choice == null ->
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -48,7 +48,8 @@
     val outcome = event.outcome
     val released = recordOutcome(releaseWork(state, record, attempt), attempt, outcome)
     if (outcome is AttemptOutcome.Completed) {
-        return endServed(released, record.withoutAttempt(attempt), attempt, outcome)
+        return noteOwnAnswer(released, record, outcome)
+            .then { endServed(it, record.withoutAttempt(attempt), attempt, outcome) }
             .then { it.step(countAttempt(record, outcome)) }
     }
     return released
@@ -64,6 +65,17 @@
         }
 }
 
+/** A stream without a single event may have been broken off before its first one. */
+private fun noteOwnAnswer(
+    state: GatewayState,
+    record: ForwardRecord,
+    outcome: AttemptOutcome.Completed
+): Step<GatewayState> {
+    val isAnswer = outcome.status in SUCCESS_STATUSES &&
+        (!record.route.streaming || record.firstEventAt != null)
+    return if (isAnswer) noteAnswered(state, record) else state.step()
+}
+
 private fun reduceFailedAttempt(
     state: GatewayState,
     record: ForwardRecord,
@@ -92,11 +104,14 @@
     } else {
         null
     }
+    val blocked = if (choice == null) findBlockedPart(state, record) else null
     return when {
         choice != null -> reserveOrSend(state, record, choice)
 
         record.stalledAttempt != null -> continueStalled(state, record)
 
+        blocked != null -> endBlocked(state, record, blocked)
+
         record.failureAnswerHeld && !record.answerStarted ->
             endWithHeldFailure(state, record, causeOf(outcome))
 
@@ -111,7 +126,8 @@
     val safeToRunAgain = !record.mayHaveRun || repetition != Repetition.AT_MOST_ONCE
     val answerAllowsRetry = !record.answerStarted || repetition == Repetition.RESUMABLE
     return safeToRunAgain && answerAllowsRetry && record.sendCount < record.route.maxAttempts &&
-        record.deadline - state.common.now > MIN_ATTEMPT_TIME && retryBudgetAllows(state, record)
+        record.deadline - state.common.now > MIN_ATTEMPT_TIME &&
+        retryBudgetAllows(state, record) && findBlockedPart(state, record) == null
 }
 
 /** Whether the retry budget of the service lets the request be sent again. */
@@ -207,5 +223,7 @@
         "faulty" to (outcome as? AttemptOutcome.NotRun)?.faultyAddress
     )
 
+private val SUCCESS_STATUSES = 200..299
+
 /** Least time until the deadline with which a request is sent again. */
 private val MIN_ATTEMPT_TIME: Duration = 20.milliseconds
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/BlockedPart.kt
@@ -0,0 +1,11 @@
+package org.gypsumroute.core.gateway
+
+import kotlin.time.Duration
+import org.gypsumroute.api.PromptPartId
+
+/** A part for which a request is refused, and the time after which it may be tried again. */
+internal data class BlockedPart(
+    val part: PromptPartId,
+    val evidence: PartEvidence,
+    val retryAfter: Duration
+)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -66,18 +66,21 @@
         exchange = next,
         endpoints = withReportedWork(state, previousLoads, report.loads)
     )
+    val informed = reduceCrashReport(changed, report.crashes)
     return if (previous != null) {
-        readFromPeerIfNewer(changed)
+        informed.then { readFromPeerIfNewer(it) }
     } else {
-        changed.step(
-            logEffect(
-                LogEvent.MEMBER_JOINED,
-                "member" to report.host,
-                "address" to from,
-                "incarnation" to report.incarnation,
-                "members" to next.members.size
+        informed.then {
+            it.step(
+                logEffect(
+                    LogEvent.MEMBER_JOINED,
+                    "member" to report.host,
+                    "address" to from,
+                    "incarnation" to report.incarnation,
+                    "members" to next.members.size
+                )
             )
-        ).then { sendReport(it) }.then { readFromPeerIfNewer(it) }
+        }.then { sendReport(it) }.then { readFromPeerIfNewer(it) }
     }
 }
 
@@ -87,6 +90,7 @@
  */
 internal fun reducePeriodicReport(state: GatewayState): Step<GatewayState> =
     removeSilentMembers(state)
+        .then { it.copy(crashes = it.crashes.withoutExpired(it.common.now)).step() }
         .then { sendReport(it) }
         .then { it.step(RuntimeEffect.SetTimer(TimerId.ReportBeat, REPORT_INTERVAL)) }
 
@@ -95,13 +99,17 @@
 
 /**
  * Reports changed work at once, or after a wait if the last report is too recent. The interval
- * between reports grows with the number of gateways.
+ * between reports grows with the number of gateways. Lost endpoints are reported sooner: until all
+ * gateways know of them, requests with the same prompts may end further ones.
  */
 internal fun reportChangedLoads(before: GatewayState, state: GatewayState): Step<GatewayState> {
     val exchange = state.exchange
-    val changed = before.endpoints !== state.endpoints
-    if (!changed || exchange.members.isEmpty() || exchange.changeTimerSet) return state.step()
-    val interval = minReportInterval(exchange.members.size)
+    val lost = before.crashes.ownLosses != state.crashes.ownLosses
+    val changed = lost || before.endpoints !== state.endpoints
+    val isAwaited = exchange.changeTimerSet && !lost
+    if (!changed || exchange.members.isEmpty() || isAwaited) return state.step()
+    val usualInterval = minReportInterval(exchange.members.size)
+    val interval = if (lost) minOf(usualInterval, LOSS_REPORT_INTERVAL) else usualInterval
     val wait = exchange.lastReportSentAt + interval - state.common.now
     return if (wait <= Duration.ZERO) {
         sendReport(state)
@@ -173,7 +181,8 @@
         loads = state.endpoints.filterValues { it.work.isNotEmpty() }
             .mapValues { it.value.ownLoad() },
         members = exchange.members
-            .filterValues { now - it.lastReportAt < MEMBER_LISTING_TIME }.keys.toList()
+            .filterValues { now - it.lastReportAt < MEMBER_LISTING_TIME }.keys.toList(),
+        crashes = state.crashes.reportAt(now)
     )
     return state.copy(exchange = next)
         .step(ExchangeEffect.SendReport(targets.toList(), report))
@@ -217,6 +226,7 @@
 
 private val REPORT_INTERVAL: Duration = 500.milliseconds
 private val MIN_REPORT_INTERVAL_PER_MEMBER: Duration = 10.milliseconds
+private val LOSS_REPORT_INTERVAL: Duration = 50.milliseconds
 
 /** Gateways report twice a second, so each has heard of all others by then. */
 private val MEMBER_DISCOVERY_TIME: Duration = 2.seconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -70,14 +70,15 @@
     state: GatewayState,
     record: ForwardRecord,
     kind: ErrorKind,
-    detail: String
+    detail: String,
+    retryAfter: Duration = RETRY_AFTER
 ): Step<GatewayState> {
     val runState = if (record.mayHaveRun) RunState.UNKNOWN else RunState.NOT_RUN
-    val retryAfter = RETRY_AFTER.takeIf { runState == RunState.NOT_RUN }
+    val advice = retryAfter.takeIf { runState == RunState.NOT_RUN }
     val effect = if (record.answerStarted) {
         ForwardEffect.Cut(record.request)
     } else {
-        ForwardEffect.Refuse(record.request, Failure(kind, detail, runState, retryAfter))
+        ForwardEffect.Refuse(record.request, Failure(kind, detail, runState, advice))
     }
     return closeRequest(state, record, kind.code).andThen(
         logEffect(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
@@ -100,17 +100,22 @@
     val updated = state.copy(requests = state.requests.put(record.request, next))
     val choice = record.pendingChoice
     if (choice == null || !next.reservations.values.all { it.confirmed }) return updated.step()
-    if (!isStillValid(updated, next, choice)) {
-        return placeAgain(updated, next, "the choice does not stand")
+    val blocked = findBlockedPart(updated, next)
+    return when {
+        !isStillValid(updated, next, choice) ->
+            placeAgain(updated, next, "the choice does not stand")
+
+        blocked != null -> endBlocked(updated, next, blocked)
+
+        else -> updated.step(
+            logEffect(
+                LogEvent.MEMORY_RESERVED,
+                "request" to record.head.callerRequestId,
+                "reservations" to next.reservations.size,
+                "tokens" to next.reservations.values.sumOf { it.tokens.count }
+            )
+        ).then { send(it, next.copy(pendingChoice = null), choice) }
     }
-    return updated.step(
-        logEffect(
-            LogEvent.MEMORY_RESERVED,
-            "request" to record.head.callerRequestId,
-            "reservations" to next.reservations.size,
-            "tokens" to next.reservations.values.sumOf { it.tokens.count }
-        )
-    ).then { send(it, next.copy(pendingChoice = null), choice) }
 }
 
 /** Gives up the whole choice after one refusal; memory reserved elsewhere for it is released. */
@@ -164,6 +169,7 @@
         failedChoices = record.failedChoices + 1
     )
     return releaseReservations(state, record).then { next ->
+        findBlockedPart(next, released)?.let { return@then endBlocked(next, released, it) }
         val choice = if (released.failedChoices < MAX_FAILED_CHOICES) {
             next.policies.placement(placementInputFor(next, released))
         } else {
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -9,13 +9,20 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import org.gypsumroute.api.CrashReport
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EndpointStart
 import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.GapTolerance
 import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.OrganisationDigest
+import org.gypsumroute.api.PromptPartId
+import org.gypsumroute.api.ReportedClearance
+import org.gypsumroute.api.ReportedLoss
+import org.gypsumroute.api.ReportedSuspicion
 import org.gypsumroute.api.Revision
 
 /** Encodes a report as the payload of one datagram. */
@@ -43,9 +50,26 @@
     storeReachable = report.storeReachable,
     loads = report.loads.map { (endpoint, load) -> recordOf(endpoint, load) },
     members = report.members.map { it.toString() },
-    ready = report.ready
+    ready = report.ready,
+    suspicions = report.crashes.suspicions.map(::recordOf),
+    clearances = report.crashes.clearances.map { ClearanceRecord(it.part.value, ageOf(it.ago)) }
 )
 
+private fun recordOf(suspicion: ReportedSuspicion) = SuspicionRecord(
+    part = suspicion.part.value,
+    othersServed = suspicion.othersServed,
+    losses = suspicion.losses.map { loss ->
+        LossRecord(
+            start = loss.start.value,
+            organisation = loss.organisation.value,
+            sentAgo = ageOf(loss.sentAgo),
+            lostAgo = ageOf(loss.lostAgo)
+        )
+    }
+)
+
+private fun ageOf(time: Duration): Int = time.inWholeMilliseconds.coerceIn(AGES_MS).toInt()
+
 private fun recordOf(endpoint: EndpointId, load: EngineLoad) = LoadRecord(
     endpoint = endpoint.value,
     openRequests = load.openRequests,
@@ -71,9 +95,28 @@
     storeReachable = record.storeReachable,
     ready = record.ready,
     loads = record.loads.associate { EndpointId(it.endpoint) to loadOf(it) },
-    members = record.members.map(::addressOf)
+    members = record.members.map(::addressOf),
+    crashes = CrashReport(
+        record.suspicions.map(::suspicionOf),
+        record.clearances.map { ReportedClearance(PromptPartId(it.part), durationOf(it.ago)) }
+    )
 )
 
+private fun suspicionOf(record: SuspicionRecord) = ReportedSuspicion(
+    part = PromptPartId(record.part),
+    othersServed = record.othersServed,
+    losses = record.losses.map {
+        ReportedLoss(
+            start = EndpointStart(it.start),
+            organisation = OrganisationDigest(it.organisation),
+            sentAgo = durationOf(it.sentAgo),
+            lostAgo = durationOf(it.lostAgo)
+        )
+    }
+)
+
+private fun durationOf(age: Int): Duration = age.toLong().coerceIn(AGES_MS).milliseconds
+
 private fun loadOf(record: LoadRecord) = EngineLoad(
     openRequests = record.openRequests,
     decodingRequests = record.decodingRequests,
@@ -90,5 +133,7 @@
 private fun addressOf(text: String) =
     EndpointAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
 
+/** Plausible ages in milliseconds; older ones count as one day. */
+private val AGES_MS = 0L..86_400_000L
 private const val REPORT_VERSION: Byte = 1
 private const val HUNDREDTHS_PER_UNIT = 100.0
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
@@ -20,7 +20,33 @@
     @CborLabel(label = 5) val storeReachable: Boolean,
     @CborLabel(label = 6) val loads: List<LoadRecord> = emptyList(),
     @CborLabel(label = 7) val members: List<String> = emptyList(),
-    @CborLabel(label = 8) val ready: Boolean = false
+    @CborLabel(label = 8) val ready: Boolean = false,
+    @CborLabel(label = 9) val suspicions: List<SuspicionRecord> = emptyList(),
+    @CborLabel(label = 10) val clearances: List<ClearanceRecord> = emptyList()
+)
+
+/** Losses of endpoints under one part of prompts. */
+@Serializable
+internal class SuspicionRecord(
+    @CborLabel(label = 1) val part: Long,
+    @CborLabel(label = 2) val othersServed: Int = 0,
+    @CborLabel(label = 3) val losses: List<LossRecord> = emptyList()
+)
+
+/** Ages are in milliseconds. */
+@Serializable
+internal class LossRecord(
+    @CborLabel(label = 1) val start: Int,
+    @CborLabel(label = 2) val organisation: Int,
+    @CborLabel(label = 3) val sentAgo: Int,
+    @CborLabel(label = 4) val lostAgo: Int
+)
+
+/** Age in milliseconds of a complete answer to a prompt with the part. */
+@Serializable
+internal class ClearanceRecord(
+    @CborLabel(label = 1) val part: Long,
+    @CborLabel(label = 2) val ago: Int
 )
 
 /** Load of one endpoint. Times are in milliseconds, [delayCostPerSecond] in hundredths. */
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
@@ -6,14 +6,22 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.milliseconds
+import org.gypsumroute.api.CrashReport
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EndpointStart
 import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.GapTolerance
 import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.IncarnationId
+import org.gypsumroute.api.OrganisationDigest
+import org.gypsumroute.api.PromptPartId
+import org.gypsumroute.api.ReportedClearance
+import org.gypsumroute.api.ReportedLoss
+import org.gypsumroute.api.ReportedSuspicion
 import org.gypsumroute.api.Revision
 
 class ReportCodecTest {
@@ -43,7 +51,26 @@
         storeReachable = nextBoolean(),
         ready = nextBoolean(),
         loads = List(nextInt(0, 5)) { EndpointId("e$it") to load() }.toMap(),
-        members = List(nextInt(0, 5)) { EndpointAddress("10.0.0.$it", nextInt(1, 65_536)) }
+        members = List(nextInt(0, 5)) { EndpointAddress("10.0.0.$it", nextInt(1, 65_536)) },
+        crashes = crashReport(nextInt(0, 4))
+    )
+
+    private fun Random.crashReport(parts: Int) = CrashReport(
+        suspicions = List(parts) {
+            ReportedSuspicion(
+                PromptPartId(nextLong()),
+                nextInt(0, 9),
+                List(nextInt(0, 6)) {
+                    ReportedLoss(
+                        EndpointStart(nextInt()),
+                        OrganisationDigest(nextInt()),
+                        duration(),
+                        duration()
+                    )
+                }
+            )
+        },
+        clearances = List(parts) { ReportedClearance(PromptPartId(nextLong()), duration()) }
     )
 
     @Test
@@ -83,7 +110,37 @@
             EndpointId("i-9e16b79e8$number") to
                 Random(number).load().copy(gapTolerances = gapTolerances)
         }.toMap()
-        val report = Random(1).report().copy(loads = loads)
+        val report = Random(1).report().copy(loads = loads, crashes = CrashReport())
         assertTrue(encodeReport(report).size <= 1472, "${encodeReport(report).size} bytes")
     }
+
+    /** Gateways of an older build neither send nor expect the reports of crashes. */
+    @Test
+    fun `a report without crashes takes no more bytes than before`() {
+        val report = Random(2).report()
+        val plain = encodeReport(report.copy(crashes = CrashReport()))
+        val text = String(plain, Charsets.ISO_8859_1)
+        assertEquals(report.copy(crashes = CrashReport()), decodeReport(plain).getOrNull())
+        assertTrue(plain.size < 300, "${plain.size} bytes: $text")
+    }
+
+    @Test
+    fun `the largest report of crashes fits one unfragmented datagram by itself`() {
+        val random = Random(3)
+        val losses = List(4) {
+            ReportedLoss(
+                EndpointStart(Int.MIN_VALUE),
+                OrganisationDigest(Int.MIN_VALUE),
+                1.days,
+                1.days
+            )
+        }
+        val crashes = CrashReport(
+            List(8) { ReportedSuspicion(PromptPartId(random.nextLong()), 2, losses) },
+            List(8) { ReportedClearance(PromptPartId(random.nextLong()), 1.days) }
+        )
+        val report = random.report().copy(loads = emptyMap(), crashes = crashes)
+        val bytes = encodeReport(report).size
+        assertTrue(bytes <= 1472, "$bytes bytes")
+    }
 }
