--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -72,16 +72,17 @@
     state: GatewayState,
     record: ForwardRecord,
     error: ErrorKind,
-    detail: String
+    detail: String,
+    retryAfter: Duration = retryAfter(state)
 ): Step<GatewayState> {
     val promisesNotRun = error.runState == RunState.NOT_RUN
     val kind = if (record.mayHaveRun && promisesNotRun) ErrorKind.ENDPOINT_LOST else error
     val runState = if (record.mayHaveRun) RunState.UNKNOWN else RunState.NOT_RUN
-    val retryAfter = retryAfter(state).takeIf { runState == RunState.NOT_RUN }
+    val advice = retryAfter.takeIf { runState == RunState.NOT_RUN }
     val effect = if (record.answerStarted) {
         ForwardEffect.Cut(record.request)
     } else {
-        ForwardEffect.Refuse(record.request, Failure(kind, detail, runState, retryAfter))
+        ForwardEffect.Refuse(record.request, Failure(kind, detail, runState, advice))
     }
     return closeRequest(state, record, kind.code).andThen(
         logEffect(
