Count an unframed stream that ends inside an event as a lost connection

What callers would see: requests with a part that crashes endpoints are sent to more of them, where the streams have neither a length nor chunks.

Cause: an endpoint that crashes closes its connection. Without a length or chunks the decoder takes that for the regular end of the answer, so the stream counted as ended inside an event, but not as ended by its endpoint's side, which is the evidence that suspects a part.

The test failed before: UnframedAnswerTest.a stream that ends inside an event has broken off: AssertionFailedError at its new check of connectionLost

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
@@ -27,6 +27,8 @@
     private val status: HttpResponseStatus = response.status()
     private val headers: HttpHeaders = forwardedHeaders(response.headers())
     private val exchange = attempt.exchange
+    private val endsWithConnection =
+        !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
     private val isStream = attempt.target.streaming && mayBeEventStream(response.headers())
 
     /** Whether the caller has a part of the answer already, which this response has to continue. */
@@ -125,10 +127,14 @@
 
     private fun completeStream(splitter: EventSplitter): AttemptOutcome = when {
         splitter.hasPartialEvent && deliveryStarted -> AttemptOutcome.Broken(
-            "stream ended inside an event"
+            "stream ended inside an event",
+            connectionLost = endsWithConnection
         )
 
-        splitter.hasPartialEvent -> AttemptOutcome.Lost("stream ended inside an event")
+        splitter.hasPartialEvent -> AttemptOutcome.Lost(
+            "stream ended inside an event",
+            connectionLost = endsWithConnection
+        )
 
         else -> {
             traffic.takeOver(attempt)
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/UnframedAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/UnframedAnswerTest.kt
@@ -68,7 +68,9 @@
         for (head in streamHeads) {
             for (end in ends) {
                 val stream = Stream(head, listOf("id: 1\ndata: a\n\n", end))
-                assertIs<AttemptOutcome.Broken>(stream.outcome, "$head$end")
+                val outcome = assertIs<AttemptOutcome.Broken>(stream.outcome, "$head$end")
+                // An endpoint that crashes closes its connection in the same way.
+                assertTrue(outcome.connectionLost, "$head$end")
                 fixture.execute(ForwardEffect.Cut(stream.arrived.request))
                 val received = stream.caller.readAll().orEmpty()
                 assertTrue(received.endsWith("data: a\n\n\r\n"), received)
