--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
@@ -24,6 +24,7 @@
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Moment
 import org.gypsumroute.api.OrganisationDigest
 import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.OrganisationKeys
@@ -299,6 +300,17 @@
         assertTrue(harness.isOpen(id))
     }
 
+    /** A connection may be lost without the end of its endpoint, which then ends later. */
+    @Test
+    fun `a trial at an endpoint that lost a connection before blocks the part again`() {
+        val start = EndpointStart(1)
+        val digest = OrganisationDigest(1)
+        fun loss(sentAt: Long) = EndpointLoss(start, digest, Moment(sentAt), Moment(sentAt + 50))
+        val evidence = PartEvidence(listOf(loss(100)))
+        assertEquals(Moment(1050), evidence.plus(loss(1000)).losses.single().lostAt)
+        assertEquals(evidence, evidence.plus(loss(90)))
+    }
+
     @Test
     fun `a part is refused only to the organisation whose requests ended endpoints`() {
         val harness = engines()
