Keep the losses that show a part crashing endpoints one after the other

Only the eight latest losses of a part were kept, and four reported. If more requests were on their way when the first endpoint ended, theirs displaced the earlier losses, all that were left came at one time, and the part was no longer suspect: crashes went on without an end (a reviewer's model of the rule, not the product: 225 to 259 requests in 20 s at 15 a second and 1 s to the crash).

Losses that came one after the other are now kept and reported first. Both tests failed before: not suspect, and 1 episode heard instead of 2.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
@@ -76,7 +76,7 @@
                 ReportedSuspicion(
                     part,
                     evidence.othersServed,
-                    evidence.losses.takeLast(MAX_REPORTED_LOSSES).map { reportOf(it, now) }
+                    evidence.mostTelling(MAX_REPORTED_LOSSES).map { reportOf(it, now) }
                 )
             },
             refuted.map { (part, clearance) -> ReportedClearance(part, now - clearance.at) }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PartEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PartEvidence.kt
@@ -37,20 +37,20 @@
     /** The starts of endpoints that were lost. */
     val starts: Set<EndpointStart> get() = losses.mapTo(HashSet()) { it.start }
 
-    /** Losses of which each was sent after the one before: how often the part was tried in vain. */
-    val episodes: Int
+    /** Losses of which each was sent after the one before it. */
+    private val successiveLosses: List<EndpointLoss>
         get() {
-            var count = 0
-            var end = Moment(Long.MIN_VALUE)
+            val successive = ArrayList<EndpointLoss>()
             for (loss in losses) {
-                if (loss.sentAt >= end) {
-                    count++
-                    end = loss.lostAt
-                }
+                val previous = successive.lastOrNull()
+                if (previous == null || loss.sentAt >= previous.lostAt) successive += loss
             }
-            return count
+            return successive
         }
 
+    /** How many losses came one after the other; losses at one time count as one. */
+    val episodes: Int get() = successiveLosses.size
+
     val isSuspect: Boolean
         get() = losses.size >= MIN_LOSSES && othersServed >= ENOUGH_OTHERS_SERVED &&
             episodes >= MIN_EPISODES
@@ -64,14 +64,26 @@
         }
 
     /**
-     * Adds a loss; the oldest is forgotten beyond [MAX_LOSSES]. An endpoint that took a request
-     * after an earlier loss had not ended then, so that the later loss replaces that one.
+     * Adds a loss; beyond [MAX_LOSSES] the least telling one is forgotten. An endpoint that took a
+     * request after an earlier loss had not ended then, so that the later loss replaces that one.
      */
     fun plus(loss: EndpointLoss): PartEvidence {
         val known = losses.find { it.start == loss.start }
         if (known != null && loss.sentAt < known.lostAt) return this
         val others = if (known == null) losses else losses - known
-        return copy(losses = (others + loss).sortedBy { it.lostAt }.takeLast(MAX_LOSSES))
+        val added = copy(losses = (others + loss).sortedBy { it.lostAt })
+        return added.copy(losses = added.mostTelling(MAX_LOSSES))
+    }
+
+    /**
+     * At most [count] losses, in the order of their times: first those that came one after the
+     * other, then the latest of the others.
+     */
+    fun mostTelling(count: Int): List<EndpointLoss> {
+        if (losses.size <= count) return losses
+        val successive = successiveLosses.takeLast(count)
+        val others = (losses - successive.toSet()).takeLast(count - successive.size)
+        return (successive + others).sortedBy { it.lostAt }
     }
 
     /** The evidence without losses up to [moment], or null if none is left. */
--- /dev/null
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PartEvidenceTest.kt
@@ -0,0 +1,58 @@
+/*
+ * What speaks against one part of prompts. Guards against evidence that vanishes or comes into
+ * being by the order, the number or the delay of losses.
+ */
+package org.gypsumroute.core.gateway
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.EndpointStart
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.OrganisationDigest
+import org.gypsumroute.api.PromptPartId
+
+class PartEvidenceTest {
+    private val part = PromptPartId(7)
+    private val organisation = OrganisationDigest(1)
+
+    private fun loss(start: Int, sentAt: Duration, lostAt: Duration) = EndpointLoss(
+        EndpointStart(start),
+        organisation,
+        Moment.START + sentAt,
+        Moment.START + lostAt
+    )
+
+    private fun evidenceOf(losses: List<EndpointLoss>): PartEvidence {
+        val first = PartEvidence(losses.take(1), othersServed = ENOUGH_OTHERS_SERVED)
+        return losses.drop(1).fold(first) { evidence, loss -> evidence.plus(loss) }
+    }
+
+    /** Two losses one after the other, then those of requests that were on their way meanwhile. */
+    private val burst = listOf(
+        loss(1, 0.seconds, 1.seconds),
+        loss(2, 1100.milliseconds, 2.seconds)
+    ) + (3..20).map { loss(it, 1200.milliseconds, 2100.milliseconds + it.milliseconds) }
+
+    /** They displaced the earlier losses, and the part was allowed while it crashed endpoints. */
+    @Test
+    fun `losses of requests that were on their way do not lift a suspicion`() {
+        val evidence = evidenceOf(burst)
+        assertTrue(evidence.isSuspect)
+        assertTrue(evidence.losses.size <= 8)
+    }
+
+    @Test
+    fun `a report of many losses has those that came one after the other`() {
+        val evidence = CrashEvidence().withOwnLosses(burst)
+        val report = evidence.reportAt(Moment.START + 3.seconds)
+        val heard = CrashEvidence().withReport(report, Moment.START + 3.seconds)
+        assertEquals(2, heard.parts.getValue(part).episodes)
+    }
+
+    private fun CrashEvidence.withOwnLosses(losses: List<EndpointLoss>): CrashEvidence =
+        losses.fold(this) { evidence, loss -> evidence.withOwnLoss(listOf(part), loss) }
+}
