Do not count a repeat to a dead endpoint as a further crash

When several endpoints end at one time, the repeat of a request may reach another dead one on a connection whose end is not noticed yet. It is lost within a millisecond, and counted as a crash after the first, so that a rare sound part could be refused after a power failure. Attempts of less than 10 ms no longer do. The test failed before.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PartEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PartEvidence.kt
@@ -11,6 +11,7 @@
 
 import kotlin.math.pow
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.EndpointStart
@@ -37,13 +38,18 @@
     /** The starts of endpoints that were lost. */
     val starts: Set<EndpointStart> get() = losses.mapTo(HashSet()) { it.start }
 
-    /** Losses of which each was sent after the one before it. */
+    /**
+     * Losses of which each was sent after the one before it. One that was lost at once was sent to
+     * an endpoint that had ended already, so it does not come after the others.
+     */
     private val successiveLosses: List<EndpointLoss>
         get() {
             val successive = ArrayList<EndpointLoss>()
             for (loss in losses) {
                 val previous = successive.lastOrNull()
-                if (previous == null || loss.sentAt >= previous.lostAt) successive += loss
+                val isLater = previous == null ||
+                    (loss.sentAt >= previous.lostAt && loss.lostAt - loss.sentAt >= MIN_RUN_TIME)
+                if (isLater) successive += loss
             }
             return successive
         }
@@ -101,6 +107,9 @@
 /** Requests without a part that must be served before its losses count against it. */
 internal const val ENOUGH_OTHERS_SERVED = 2
 
+/** An attempt at a running endpoint takes at least this long until a crash ends it. */
+private val MIN_RUN_TIME: Duration = 10.milliseconds
+
 /** Fewer losses can come together under a sound part by chance. */
 private const val MIN_LOSSES = 3
 private const val MIN_EPISODES = 2
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PartEvidenceTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PartEvidenceTest.kt
@@ -6,6 +6,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -53,6 +54,19 @@
         assertEquals(2, heard.parts.getValue(part).episodes)
     }
 
+    /** A power failure ends several endpoints, and a repeat reaches one that is dead already. */
+    @Test
+    fun `an attempt that is lost at once does not come after the loss before it`() {
+        val evidence = evidenceOf(
+            listOf(
+                loss(1, 500.milliseconds, 1.seconds),
+                loss(2, 600.milliseconds, 1.seconds),
+                loss(3, 1.seconds, 1001.milliseconds)
+            )
+        )
+        assertFalse(evidence.isSuspect)
+    }
+
     private fun CrashEvidence.withOwnLosses(losses: List<EndpointLoss>): CrashEvidence =
         losses.fold(this) { evidence, loss -> evidence.withOwnLoss(listOf(part), loss) }
 }
