Do not let late reports move losses or bring refuted ones back

Reports give the ages of losses, so a report that is late shifts them. A loss shorter than the delay replaced the known one and was passed on again, and one that a complete answer had refuted came back after it.

A reported loss now replaces a known one, or counts after a clearance, only if it is later by more than 1 s. Both tests failed before: 640 ms instead of 140 ms, and a part with evidence after its clearance.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
@@ -97,9 +97,13 @@
         return copy(parts = keptParts.build(), clearances = keptClearances.build())
     }
 
-    private fun withLoss(part: PromptPartId, loss: EndpointLoss): CrashEvidence {
-        if (clearances[part]?.let { loss.lostAt <= it.at } == true) return this
-        val evidence = parts[part]?.plus(loss) ?: PartEvidence(listOf(loss))
+    private fun withLoss(
+        part: PromptPartId,
+        loss: EndpointLoss,
+        delay: Duration = Duration.ZERO
+    ): CrashEvidence {
+        if (clearances[part]?.let { loss.lostAt <= it.at + delay } == true) return this
+        val evidence = parts[part]?.plus(loss, delay) ?: PartEvidence(listOf(loss))
         return copy(parts = parts.put(part, evidence).bounded(STRENGTH))
     }
 
@@ -115,7 +119,9 @@
 
     private fun withSuspicion(reported: ReportedSuspicion, now: Moment): CrashEvidence {
         val losses = reported.losses.take(MAX_REPORTED_LOSSES).map { lossOf(it, now) }
-        val next = losses.fold(this) { next, loss -> next.withLoss(reported.part, loss) }
+        val next = losses.fold(this) { next, loss ->
+            next.withLoss(reported.part, loss, MAX_REPORT_DELAY)
+        }
         val evidence = next.parts[reported.part] ?: return next
         if (losses.isEmpty()) return next
         // A count that began with a loss that was refuted since does not hold for the others.
@@ -158,6 +164,9 @@
 internal const val MAX_REPORTED = 8
 private const val MAX_REPORTED_LOSSES = 4
 
+/** Ages in a report are too low by its time on the way, which is not known. */
+private val MAX_REPORT_DELAY: Duration = 1.seconds
+
 /** Twenty reports: enough that one of them arrives. */
 private val REPORTING_TIME: Duration = 10.seconds
 private val LOSS_RETENTION: Duration = 20.minutes
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PartEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PartEvidence.kt
@@ -71,11 +71,12 @@
 
     /**
      * Adds a loss; beyond [MAX_LOSSES] the least telling one is forgotten. An endpoint that took a
-     * request after an earlier loss had not ended then, so that the later loss replaces that one.
+     * request after an earlier loss had not ended then, so that the later loss replaces that one,
+     * unless the difference may come from the [delay] of a report.
      */
-    fun plus(loss: EndpointLoss): PartEvidence {
+    fun plus(loss: EndpointLoss, delay: Duration = Duration.ZERO): PartEvidence {
         val known = losses.find { it.start == loss.start }
-        if (known != null && loss.sentAt < known.lostAt) return this
+        if (known != null && loss.sentAt < known.lostAt + delay) return this
         val others = if (known == null) losses else losses - known
         val added = copy(losses = (others + loss).sortedBy { it.lostAt })
         return added.copy(losses = added.mostTelling(MAX_LOSSES))
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PartEvidenceTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PartEvidenceTest.kt
@@ -11,10 +11,14 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.CrashReport
 import org.gypsumroute.api.EndpointStart
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.OrganisationDigest
 import org.gypsumroute.api.PromptPartId
+import org.gypsumroute.api.ReportedClearance
+import org.gypsumroute.api.ReportedLoss
+import org.gypsumroute.api.ReportedSuspicion
 
 class PartEvidenceTest {
     private val part = PromptPartId(7)
@@ -67,6 +71,30 @@
         assertFalse(evidence.isSuspect)
     }
 
+    /** A delayed report shifts the times of its losses, which gateways pass on to each other. */
+    @Test
+    fun `a late report of a known loss does not move it`() {
+        val known = CrashEvidence().withOwnLosses(listOf(loss(1, 100.milliseconds, 140.milliseconds)))
+        val heard = known.withReport(reportOfLoss(), Moment.START + 640.milliseconds)
+        val lostAt = heard.parts.getValue(part).losses.single().lostAt
+        assertEquals(Moment.START + 140.milliseconds, lostAt)
+    }
+
+    @Test
+    fun `a late report of a loss from before a complete answer does not count`() {
+        val cleared = CrashEvidence().withReport(
+            CrashReport(clearances = listOf(ReportedClearance(part, Duration.ZERO))),
+            Moment.START + 200.milliseconds
+        )
+        val heard = cleared.withReport(reportOfLoss(), Moment.START + 640.milliseconds)
+        assertTrue(heard.parts.isEmpty())
+    }
+
     private fun CrashEvidence.withOwnLosses(losses: List<EndpointLoss>): CrashEvidence =
         losses.fold(this) { evidence, loss -> evidence.withOwnLoss(listOf(part), loss) }
+
+    private fun reportOfLoss(): CrashReport {
+        val loss = ReportedLoss(EndpointStart(1), organisation, 40.milliseconds, Duration.ZERO)
+        return CrashReport(listOf(ReportedSuspicion(part, othersServed = 0, listOf(loss))))
+    }
 }
