Count answers to prompts without shared parts as answers to others

A part is suspect only if requests without it are served meanwhile, and answers to prompts that have only a part of their own did not count. Where all sound prompts are like that, a part that crashed endpoints was never refused. The test failed before. Requests without a prompt, such as those to plain services, do not count, since they say nothing about engines.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
@@ -40,7 +40,7 @@
 
     /** Clears the parts of a request that was served; it also shows that others can be served. */
     fun withServed(served: Collection<PromptPartId>, now: Moment): CrashEvidence {
-        if (parts.isEmpty() || served.isEmpty()) return this
+        if (parts.isEmpty()) return this
         val cleared = served.filter { it in parts }.fold(this) { next, part ->
             next.withClearance(part, Clearance(now, parts.getValue(part).losses.size, own = true))
         }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
@@ -71,9 +71,13 @@
     }
 }
 
-/** Notes that a request got its complete answer, which clears the parts of its prompt. */
+/** Notes that a prompt got its complete answer, which clears its parts. */
 internal fun noteAnswered(state: GatewayState, record: ForwardRecord): Step<GatewayState> =
-    state.withEvidence(state.crashes.withServed(record.head.promptParts, state.common.now))
+    if (record.head.promptTokens == null) {
+        state.step()
+    } else {
+        state.withEvidence(state.crashes.withServed(record.head.promptParts, state.common.now))
+    }
 
 /** Takes over what another gateway reported. */
 internal fun reduceCrashReport(state: GatewayState, report: CrashReport): Step<GatewayState> =
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
@@ -203,6 +203,17 @@
         assertFalse(harness.serve(shared, subject, crashing))
     }
 
+    /** Their answers did not count, so a part that crashed endpoints was never suspect. */
+    @Test
+    fun `a part is refused also where other requests have no shared part`() {
+        val harness = engines()
+        repeat(3) {
+            harness.crash(crashing)
+            harness.serve()
+        }
+        assertFalse(harness.serve(crashing))
+    }
+
     /** A crashing prompt never gets that far; its neighbours at the endpoint do. */
     @Test
     fun `requests whose answers were under way are not held responsible`() {
