Explain the losses of a part by all other suspect parts together

Two parts that crash endpoints and have a first part in common each explained half of its losses and neither all, so that all requests with the first part were refused until one of them was answered. And a request with one of the two was taken for explained by the first part, which it has itself.

The losses of all suspect parts that the request does not have now count together. The test failed before: the first part alone was refused.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
@@ -128,9 +128,10 @@
 }
 
 /**
- * Whether another part explains the losses as well: one that lost further endpoints, or one with
- * the same losses that the request does not have. One loss that only one of the parts has makes no
- * difference, since it may not have been reported yet.
+ * Whether other suspect parts, which the request does not have, account for the losses of a part.
+ * For example, a first part that many prompts begin with is lost at each endpoint that one of them
+ * crashes. A single loss that only the part has makes no difference, since the report of it on the
+ * other part may not have arrived yet.
  */
 private fun isExplainedByOthers(
     crashes: CrashEvidence,
@@ -138,14 +139,13 @@
     evidence: PartEvidence,
     requested: List<PromptPartId>
 ): Boolean {
-    val starts = evidence.starts
-    return crashes.parts.any { (otherPart, other) ->
-        val otherStarts = other.starts
-        val coversLosses = otherPart != part && other.isSuspect &&
-            starts.count { it !in otherStarts } <= UNREPORTED_LOSSES
-        val hasFurtherLosses = otherStarts.count { it !in starts } > UNREPORTED_LOSSES
-        coversLosses && (hasFurtherLosses || otherPart !in requested)
+    val explained = HashSet<EndpointStart>()
+    for ((otherPart, other) in crashes.parts) {
+        if (otherPart != part && otherPart !in requested && other.isSuspect) {
+            explained += other.starts
+        }
     }
+    return evidence.starts.count { it !in explained } <= UNREPORTED_LOSSES
 }
 
 /** The time until the request may try the part again, or null if it may do so now. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
@@ -203,6 +203,18 @@
         assertFalse(harness.serve(shared, subject, crashing))
     }
 
+    /** Each of them explains a part of the losses, and none explains all. */
+    @Test
+    fun `a first part that two crashing parts have in common stays allowed`() {
+        val harness = engines()
+        val otherCrashing = 4L
+        harness.feedSuspicions(subject to 1..3, crashing to 1..3)
+        harness.feedSuspicions(subject to 4..6, otherCrashing to 4..6)
+        assertFalse(harness.serve(subject, crashing))
+        assertFalse(harness.serve(subject, otherCrashing))
+        assertTrue(harness.serve(subject))
+    }
+
     /** Their answers did not count, so a part that crashed endpoints was never suspect. */
     @Test
     fun `a part is refused also where other requests have no shared part`() {
