--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
@@ -229,5 +229,5 @@
 /** By so much the losses of two parts may differ that stand in the same requests. */
 private const val UNREPORTED_LOSSES = 1
 
-/** A crash after a new trial and the report of it take less. */
-private val TURN_TIME: Duration = 1.seconds
+/** A crash after a new trial and the report of it usually take less. */
+private val TURN_TIME: Duration = 2.seconds
