--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PartEvidenceTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PartEvidenceTest.kt
@@ -74,7 +74,9 @@
     /** A delayed report shifts the times of its losses, which gateways pass on to each other. */
     @Test
     fun `a late report of a known loss does not move it`() {
-        val known = CrashEvidence().withOwnLosses(listOf(loss(1, 100.milliseconds, 140.milliseconds)))
+        val known = CrashEvidence().withOwnLosses(
+            listOf(loss(1, 100.milliseconds, 140.milliseconds))
+        )
         val heard = known.withReport(reportOfLoss(), Moment.START + 640.milliseconds)
         val lostAt = heard.parts.getValue(part).losses.single().lostAt
         assertEquals(Moment.START + 140.milliseconds, lostAt)
