Do not pass on an unframed stream without an event as complete

A stream that ends with its connection has no mark of its end; one that ended before its first event reached the caller as an empty success, and gave no evidence against the part that had crashed the endpoint. It now counts as lost with its connection. The test failed before: the attempt had completed.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
@@ -126,6 +126,10 @@
     private fun continuesStream(): Boolean = isStream && status == HttpResponseStatus.OK
 
     private fun completeStream(splitter: EventSplitter): AttemptOutcome = when {
+        // Nothing marks the end of such a stream, so it may have broken off before its first event.
+        endsWithConnection && !deliveryStarted && !splitter.hasPartialEvent ->
+            AttemptOutcome.Lost("stream ended before its first event", connectionLost = true)
+
         splitter.hasPartialEvent && deliveryStarted -> AttemptOutcome.Broken(
             "stream ended inside an event",
             connectionLost = endsWithConnection
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/UnframedAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/UnframedAnswerTest.kt
@@ -62,6 +62,23 @@
         }
     }
 
+    /** The caller got an empty answer as a success when the endpoint crashed before writing it. */
+    @Test
+    fun `a stream that ends before its first event has broken off`() {
+        for (head in streamHeads) {
+            val endpoint = fixture.endpoint {
+                it.readMessage()
+                it.write(head)
+                it.close()
+            }
+            fixture.call("GET /a HTTP/1.1\r\nX-Id: 1\r\n\r\n")
+            val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+            fixture.send(arrived, endpoint.address, streaming = true)
+            val outcome = fixture.awaitAttemptEnd(arrived.request).outcome
+            assertTrue(assertIs<AttemptOutcome.Lost>(outcome, head).connectionLost, head)
+        }
+    }
+
     @Test
     fun `a stream that ends inside an event has broken off`() {
         val ends = listOf("id: 2\n", "id: 2\ndata: b\n", "d", ": note", "id: 2\r\ndata: b\r\n\r")
