--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/BlockedParts.kt
@@ -0,0 +1,120 @@
+/*
+ * Which requests reach no endpoint because of a part of their prompt that crashes endpoints.
+ *
+ * A part is refused to the organisations whose requests lost endpoints, and to all once they are
+ * several, so that no organisation can get a part of another refused by sending it itself. After
+ * the time of the block one request may try the part again. The gateways take turns at that, since
+ * they would otherwise all try at the same time.
+ */
+package org.gypsumroute.core.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.EndpointStart
+import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.HostId
+import org.gypsumroute.api.OrganisationId
+import org.gypsumroute.api.PromptPartId
+import org.gypsumroute.api.Step
+import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.rendezvousWeightOfHashes
+import org.gypsumroute.core.stableHash
+
+/**
+ * The part of the request for which it must reach no endpoint now, or null. Of several it is the
+ * last one, since the first parts of prompts are the most widely shared.
+ */
+internal fun findBlockedPart(state: GatewayState, record: ForwardRecord): BlockedPart? {
+    if (state.crashes.parts.isEmpty()) return null
+    return record.head.promptParts.asReversed().firstNotNullOfOrNull { part ->
+        state.crashes.parts[part]
+            ?.takeIf { it.isSuspect && appliesTo(it, record.organisation) }
+            ?.takeUnless { isExplainedByOthers(state.crashes, part, it, record.head.promptParts) }
+            ?.let { evidence ->
+                waitFor(state, record, part, evidence)?.let { BlockedPart(part, evidence, it) }
+            }
+    }
+}
+
+/** Ends a request that reaches no endpoint, or no further one, because of a part of its prompt. */
+internal fun endBlocked(
+    state: GatewayState,
+    record: ForwardRecord,
+    blocked: BlockedPart
+): Step<GatewayState> {
+    val detail = "prompt part ${blocked.part} ended ${blocked.evidence.losses.size} endpoints"
+    return when {
+        record.failureAnswerHeld && !record.answerStarted ->
+            endWithHeldFailure(state, record, detail)
+
+        record.mayHaveRun -> endWithError(state, record, ErrorKind.ENDPOINT_LOST, detail)
+
+        else -> endWithError(
+            state,
+            record,
+            ErrorKind.PROMPT_PART_BLOCKED,
+            detail,
+            retryAfter = blocked.retryAfter
+        )
+    }
+}
+
+private fun appliesTo(evidence: PartEvidence, organisation: OrganisationId?): Boolean {
+    val affected = evidence.losses.mapTo(HashSet()) { it.organisation }
+    return affected.size > 1 || digestOf(organisation) in affected
+}
+
+/**
+ * Whether other suspect parts, which the request does not have, account for the losses of a part.
+ * For example, a first part that many prompts begin with is lost at each endpoint that one of them
+ * crashes. A single loss that only the part has makes no difference, since the report of it on the
+ * other part may not have arrived yet.
+ */
+internal fun isExplainedByOthers(
+    crashes: CrashEvidence,
+    part: PromptPartId,
+    evidence: PartEvidence,
+    requested: List<PromptPartId>
+): Boolean {
+    val explained = HashSet<EndpointStart>()
+    for ((otherPart, other) in crashes.parts) {
+        if (otherPart != part && otherPart !in requested && other.isSuspect) {
+            explained += other.starts
+        }
+    }
+    return evidence.starts.count { it !in explained } <= UNREPORTED_LOSSES
+}
+
+/** The time until the request may try the part again, or null if it may do so now. */
+private fun waitFor(
+    state: GatewayState,
+    record: ForwardRecord,
+    part: PromptPartId,
+    evidence: PartEvidence
+): Duration? {
+    val now = state.common.now
+    val turn = evidence.blockedUntil + TURN_TIME * turnOf(state, part)
+    val isTried = state.requests.values.any {
+        it.request != record.request && it.openAttempts.isNotEmpty() && part in it.head.promptParts
+    }
+    return when {
+        now < evidence.blockedUntil -> maxOf(evidence.blockedUntil - now, RETRY_AFTER)
+        now < turn || isTried -> TURN_TIME
+        else -> null
+    }
+}
+
+/** This gateway's place in the order in which the gateways try the part again, from 0. */
+private fun turnOf(state: GatewayState, part: PromptPartId): Int {
+    fun weightOf(host: HostId) = rendezvousWeightOfHashes(part.value, stableHash(host.value))
+    val own = weightOf(state.common.node.host)
+    return state.exchange.members.values.count {
+        it.report.ready && weightOf(it.report.host) > own
+    }
+}
+
+/** Losses of a part that other parts need not account for. */
+private const val UNREPORTED_LOSSES = 1
+
+/** A crash after a new trial and the report of it usually take less. */
+private val TURN_TIME: Duration = 2.seconds
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -37,7 +37,6 @@
 import org.gypsumroute.api.CallerLimits
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.Failure
-import org.gypsumroute.api.RequestHead
 import org.gypsumroute.core.gateway.RETRY_AFTER
 
 /** Serves one connection and passes each complete request to [traffic]. */
@@ -355,31 +354,6 @@
     }
 }
 
-/**
- * A request whose body may still be incomplete. Its body counts against [bodyMemory] until it is
- * released.
- */
-internal class ReceivedRequest(
-    val line: RequestLine,
-    val head: RequestHead,
-    val headers: HttpHeaders,
-    private val bodyMemory: BodyMemoryBudget
-) {
-    val body: ByteBuf = Unpooled.buffer(0)
-
-    /** Appends a part of the body. */
-    fun add(part: ByteBuf) {
-        bodyMemory.add(part.readableBytes())
-        body.writeBytes(part)
-    }
-
-    /** Releases the body and its share of the memory budget. */
-    fun release() {
-        bodyMemory.remove(body.readableBytes())
-        body.release()
-    }
-}
-
 /**
  * Whether the request target has printable ASCII characters only. Only such a target can be
  * forwarded byte for byte.
