Let the fleet of the system tests heed SIGHUP also under nohup

In one of them, PlannedStopTest 'SIGHUP of an agent and an entry is a planned stop' failed: agent-1 still ran after 15 s, and its log had no 1003. Without nohup the test had passed. The fleet's processes now start with the default action.

--- a/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/ProcessFleet.kt
+++ b/gypsumroute-system-test/src/test/kotlin/org/gypsumroute/systemtest/ProcessFleet.kt
@@ -213,7 +213,8 @@
         environment: Map<String, String>
     ): RunningProcess {
         val log = work.resolve("$name-${processes.size}.log")
-        val builder = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile())
+        val builder = ProcessBuilder(DEFAULT_HANGUP + command).redirectErrorStream(true)
+            .redirectOutput(log.toFile())
         builder.environment().putAll(environment)
         return RunningProcess(name, builder.start(), log).also { processes += it }
     }
@@ -228,6 +229,8 @@
     )
 
     private companion object {
+        /** Under `nohup`, the tests and all that they start would ignore SIGHUP. */
+        val DEFAULT_HANGUP = listOf("env", "--default-signal=HUP")
         const val ROUTER = "../gypsumroute-cli/target/gypsumroute"
         const val STAND_INS = "../gypsumroute-test/target/gypsumroute-standins"
         const val AGENT_JAVA = "-Xmx48m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss512k"
