Say which losses a report has, and straighten a lambda and a test's name

From the last read of the change; behaviour unchanged. The comment on ReportedSuspicion still spoke of the latest losses.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/CrashReport.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/CrashReport.kt
@@ -13,8 +13,8 @@
 )
 
 /**
- * The latest [losses] of endpoints under [part]. [othersServed] counts requests without the part
- * that were served since the first loss.
+ * Some [losses] of endpoints under [part], first of all those that came one after the other.
+ * [othersServed] counts requests without the part that were served since the first loss.
  */
 data class ReportedSuspicion(
     val part: PromptPartId,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/drain/EntryDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/drain/EntryDrain.kt
@@ -36,10 +36,8 @@
  */
 internal fun failOpenRequests(state: EntryState): Step<EntryState> {
     val open = state.requests.values.filter { it.phase != RequestPhase.DELIVERING }
-    return refuseAwaitedBodies(state.copy(drainLimitReached = true)).thenEach(open) {
-            next,
-            record
-        ->
+    val refused = refuseAwaitedBodies(state.copy(drainLimitReached = true))
+    return refused.thenEach(open) { next, record ->
         fail(next, record, stopKind(next, record), "the entry stops")
     }
 }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
@@ -274,8 +274,7 @@
         assertFalse(harness.serve(shared, subject))
         harness.advance(40.seconds)
         assertTrue(harness.serve(shared, subject))
-        val logs = harness.state.crashes.parts
-        assertNull(logs[PromptPartId(subject)])
+        assertNull(harness.state.crashes.parts[PromptPartId(subject)])
         assertTrue(harness.serve(shared, subject))
     }
 
