--- a/review/stand-ins/kotlin/review/Main.kt
+++ b/review/stand-ins/kotlin/review/Main.kt
@@ -33,7 +33,8 @@
 
 private val cases: Map<String, (Setup) -> Boolean> = mapOf(
     "torn-extra-answer" to ::tornExtraAnswer,
-    "stuck-watch" to ::stuckWatch
+    "stuck-watch" to ::stuckWatch,
+    "late-crashing-part" to ::lateCrashingPart
 )
 
 fun main(arguments: Array<String>) {
--- a/review/stand-ins/kotlin/review/RunnerStandIn.kt
+++ b/review/stand-ins/kotlin/review/RunnerStandIn.kt
@@ -8,6 +8,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
 /** A request at a runner and the connection on which the answer is written. */
@@ -40,28 +41,52 @@
     private val slots: Int,
     private val handle: (RunnerCall) -> Unit
 ) : AutoCloseable {
-    private val listener = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val loopback = InetAddress.getByName("127.0.0.1")
+    private val connections = CopyOnWriteArrayList<Socket>()
+
+    @Volatile
+    private var listener = ServerSocket(0, BACKLOG, loopback)
+
+    /** The moment of the last start, by which the entry tells one start from another. */
+    @Volatile
+    private var born = System.currentTimeMillis()
 
     init {
-        thread(isDaemon = true) { acceptAll() }
+        thread(isDaemon = true) { acceptAll(listener) }
     }
 
     /** The entry of the runner in the platform's store. */
     fun entry(zone: String = "a", state: String = "ready"): String =
         """{"service":"$service","address":"127.0.0.1:${listener.localPort}","zone":"$zone",
             "version":"v1","slots":$slots,"state":"$state","cold_remaining_ms":0,"sequence":1,
-            "born":1767225600000}"""
+            "born":$born}"""
+
+    /** Ends as a crashed process does: all connections are reset, and the port is closed. */
+    fun crash() {
+        listener.close()
+        connections.forEach { it.setSoLinger(true, 0) }
+        connections.forEach { it.close() }
+        connections.clear()
+    }
+
+    /** Starts again at the same address. */
+    fun restart() {
+        born = System.currentTimeMillis()
+        listener = ServerSocket(listener.localPort, BACKLOG, loopback)
+        thread(isDaemon = true) { acceptAll(listener) }
+    }
 
     override fun close() = listener.close()
 
-    private fun acceptAll() {
-        while (!listener.isClosed) {
+    private fun acceptAll(current: ServerSocket) {
+        while (!current.isClosed) {
             val socket = try {
-                listener.accept()
+                current.accept()
             } catch (exception: IOException) {
                 return
             }
             socket.tcpNoDelay = true
+            connections += socket
             thread(isDaemon = true) { serve(socket) }
         }
     }
@@ -82,7 +107,9 @@
                 }
             }
         } catch (exception: IOException) {
-            // The gateway closed the connection.
+            // The gateway closed the connection, or the runner crashed.
+        } finally {
+            connections -= socket
         }
     }
 
