--- a/review/stand-ins/kotlin/review/Main.kt
+++ b/review/stand-ins/kotlin/review/Main.kt
@@ -34,7 +34,9 @@
 private val cases: Map<String, (Setup) -> Boolean> = mapOf(
     "torn-extra-answer" to ::tornExtraAnswer,
     "stuck-watch" to ::stuckWatch,
-    "late-crashing-part" to ::lateCrashingPart
+    "late-crashing-part" to ::lateCrashingPart,
+    "cut-watch" to ::cutWatch,
+    "crashing-part-and-kill" to ::crashingPartAndKill
 )
 
 fun main(arguments: Array<String>) {
--- a/review/stand-ins/kotlin/review/RunnerStandIn.kt
+++ b/review/stand-ins/kotlin/review/RunnerStandIn.kt
@@ -64,8 +64,7 @@
     /** Ends as a crashed process does: all connections are reset, and the port is closed. */
     fun crash() {
         listener.close()
-        connections.forEach { it.setSoLinger(true, 0) }
-        connections.forEach { it.close() }
+        connections.forEach(::reset)
         connections.clear()
     }
 
@@ -113,6 +112,13 @@
         }
     }
 
+    private fun reset(socket: Socket) = try {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    } catch (exception: IOException) {
+        // It was closed already.
+    }
+
     private companion object {
         const val BACKLOG = 256
     }
--- a/review/stand-ins/kotlin/review/StoreStandIn.kt
+++ b/review/stand-ins/kotlin/review/StoreStandIn.kt
@@ -25,6 +25,13 @@
     private val items = TreeMap<String, Change>()
     private val changes = ArrayList<Change>()
     private var revision = 1L
+    private var cuts = 0
+
+    /** Cuts all watches that are waiting. */
+    fun cutWatches() = synchronized(lock) {
+        cuts++
+        lock.notifyAll()
+    }
 
     /** Writes an item, or removes it if [value] is null. Its return is the acknowledgement. */
     fun put(key: String, value: String?) = synchronized(lock) {
@@ -46,9 +53,11 @@
         val after = parameter(exchange, "after")!!.toLong()
         val end = System.currentTimeMillis() + parameter(exchange, "wait_ms")!!.toLong()
         synchronized(lock) {
-            while (revision <= after && System.currentTimeMillis() < end) {
+            val cutsBefore = cuts
+            while (revision <= after && System.currentTimeMillis() < end && cuts == cutsBefore) {
                 lock.wait((end - System.currentTimeMillis()).coerceAtLeast(1))
             }
+            if (cuts > cutsBefore) throw IOException("the watch is cut")
             val newer = changes.filter { it.revision > after }
             val oldest = System.nanoTime() - TimeUnit.SECONDS.toNanos(HISTORY_SECONDS)
             if (newer.any { it.madeAt < oldest }) return null
