--- a/review/stand-ins/kotlin/review/CrashingPart.kt
+++ b/review/stand-ins/kotlin/review/CrashingPart.kt
@@ -1,5 +1,6 @@
 /*
- * Cases: a part of prompts crashes each runner that begins to answer it.
+ * Case: a part of prompts crashes each runner that begins to answer it, and stands behind many
+ * other parts.
  */
 package review
 
@@ -20,31 +21,6 @@
     return late <= ALLOWED_LATE
 }
 
-/**
- * All gateways are killed at once after the fifth crash. The rule is broken if more than three
- * requests with the part reach runners once the new processes are in touch.
- */
-fun crashingPartAndKill(setup: Setup): Boolean {
-    val traffic = CrashTraffic(setup, partsBefore = 1, intervalMs = 4000, totalMs = 100_000)
-    val operator = thread {
-        Thread.sleep(KILL_AT_MS)
-        setup.record.line("all gateways are killed; ${traffic.crashes.size} crashes so far")
-        traffic.gateways.forEach { it.close() }
-        Thread.sleep(RESTART_MS)
-        traffic.gateways.forEach { it.start() }
-        traffic.gateways.forEach { it.awaitReady() }
-        setup.record.line("all gateways are ready again")
-    }
-    val killedAt = System.nanoTime() + KILL_AT_MS * 1_000_000
-    traffic.run()
-    operator.join()
-    if (setup.trouble && traffic.boundBeginsAt > killedAt) throw CaseCannotRun("too few crashes")
-    val inTouchFrom = killedAt + (RESTART_MS + START_MS + STABILITY_MS) * 1_000_000
-    val late = traffic.arrivalsAfter(inTouchFrom)
-    setup.record.line("${traffic.crashes.size} crashes; $late requests with the part came too late")
-    return late <= ALLOWED_LATE
-}
-
 /**
  * Sound streams at a steady rate, and a request with the crashing part each [intervalMs]. That part
  * stands behind [partsBefore] shared ones.
@@ -177,11 +153,6 @@
 private const val SOUND_CALLERS = 4
 private const val SOUND_INTERVAL_MS = 200L
 private const val CALM_MS = 5000L
-private const val KILL_AT_MS = 58_000L
-private const val RESTART_MS = 1000L
-
-/** Longest time from the start of the processes until they are ready. */
-private const val START_MS = 3000L
 private const val CRASHES_TO_LEARN = 5
 private const val STABILITY_MS = 3000L
 private const val ALLOWED_LATE = 3
--- a/review/stand-ins/kotlin/review/Deployment.kt
+++ b/review/stand-ins/kotlin/review/Deployment.kt
@@ -21,8 +21,8 @@
             """"session_affinity":false$more}"""
 }
 
-const val ENGINE_PROFILE =
-    """"engine":{"slots":11,"kv_tokens":450000,"kv_token_bytes":327680,"stride":46,
+private fun engineProfile(memory: Int) =
+    """"engine":{"slots":11,"kv_tokens":$memory,"kv_token_bytes":327680,"stride":46,
         "models":[{"name":"m"}],"step_ms":0.925,"per_seq_ms":0.007,"context_per_k":0.00254,
         "read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048,"report_lag_ms":200.0,
         "usual":{"prompt":13252,"answer":1540},"hop_ms":0.1}"""
@@ -33,10 +33,11 @@
     routes: List<RouteEntry>,
     services: List<String>,
     engines: Set<String> = emptySet(),
+    engineMemory: Int = 450_000,
     keys: List<String> = listOf(Caller.KEY)
 ): String {
     val serviceList = services.joinToString(",") { name ->
-        val engine = if (name in engines) ",$ENGINE_PROFILE" else ""
+        val engine = if (name in engines) ",${engineProfile(engineMemory)}" else ""
         """{"name":"$name","health_path":"/healthz","max_connections":294,"protocol":"h1",
             "tls":false,"cold_start_s":0.0,"cold_per_s":0.0$engine}"""
     }
--- a/review/stand-ins/kotlin/review/Main.kt
+++ b/review/stand-ins/kotlin/review/Main.kt
@@ -36,7 +36,7 @@
     "stuck-watch" to ::stuckWatch,
     "late-crashing-part" to ::lateCrashingPart,
     "cut-watch" to ::cutWatch,
-    "crashing-part-and-kill" to ::crashingPartAndKill
+    "unanswered-prompt" to ::unansweredPrompt
 )
 
 fun main(arguments: Array<String>) {
