--- a/review/stand-ins/kotlin/review/CrashingPart.kt
+++ b/review/stand-ins/kotlin/review/CrashingPart.kt
@@ -1,6 +1,5 @@
 /*
- * Case: a part of prompts crashes each runner that begins to answer it, and stands behind many
- * other parts.
+ * Two cases: a part of prompts crashes each runner that begins to answer it.
  */
 package review
 
@@ -21,6 +20,39 @@
     return late <= ALLOWED_LATE
 }
 
+/**
+ * All gateways are killed at once after the fifth crash, and once more later. The rule is broken if
+ * more than three requests with the part reach runners while the new processes are in touch.
+ */
+fun crashingPartAndKill(setup: Setup): Boolean {
+    val traffic = CrashTraffic(setup, partsBefore = 1, intervalMs = 4000, totalMs = 96_000)
+    val begin = System.nanoTime()
+    val kills = KILLS_AT_MS.map { begin + it * 1_000_000 }
+    val operator = thread {
+        for (kill in kills) {
+            Thread.sleep((kill - System.nanoTime()) / 1_000_000)
+            if (setup.trouble) killAll(setup, traffic)
+        }
+    }
+    traffic.run()
+    operator.join()
+    if (setup.trouble && traffic.boundBeginsAt > kills[0]) throw CaseCannotRun("too few crashes")
+    val untouched = (RESTART_MS + START_MS + STABILITY_MS) * 1_000_000
+    val late = traffic.arrivalsBetween(kills[0] + untouched, kills[1]) +
+        traffic.arrivalsAfter(kills[1] + untouched)
+    setup.record.line("${traffic.crashes.size} crashes; $late requests with the part came too late")
+    return late <= ALLOWED_LATE
+}
+
+private fun killAll(setup: Setup, traffic: CrashTraffic) {
+    setup.record.line("all gateways are killed; ${traffic.crashes.size} crashes so far")
+    traffic.gateways.forEach { it.close() }
+    Thread.sleep(RESTART_MS)
+    traffic.gateways.forEach { it.start() }
+    traffic.gateways.forEach { it.awaitReady() }
+    setup.record.line("all gateways are ready again")
+}
+
 /**
  * Sound streams at a steady rate, and a request with the crashing part each [intervalMs]. That part
  * stands behind [partsBefore] shared ones.
@@ -60,7 +92,9 @@
             ?: Long.MAX_VALUE
 
     /** Each request with the part that reaches a runner crashes it. */
-    fun arrivalsAfter(moment: Long): Int = crashes.count { it > moment }
+    fun arrivalsAfter(moment: Long): Int = arrivalsBetween(moment, Long.MAX_VALUE)
+
+    fun arrivalsBetween(begin: Long, end: Long): Int = crashes.count { it in begin..<end }
 
     fun run() {
         val end = System.nanoTime() + totalMs * 1_000_000
@@ -153,6 +187,11 @@
 private const val SOUND_CALLERS = 4
 private const val SOUND_INTERVAL_MS = 200L
 private const val CALM_MS = 5000L
+private val KILLS_AT_MS = listOf(54_000L, 76_000L)
+private const val RESTART_MS = 1000L
+
+/** Longest time from the start of the processes until they are ready. */
+private const val START_MS = 3000L
 private const val CRASHES_TO_LEARN = 5
 private const val STABILITY_MS = 3000L
 private const val ALLOWED_LATE = 3
--- a/review/stand-ins/kotlin/review/Main.kt
+++ b/review/stand-ins/kotlin/review/Main.kt
@@ -31,12 +31,15 @@
     }
 }
 
+/** The first five lie in folders of their own; the last two are described in the report only. */
 private val cases: Map<String, (Setup) -> Boolean> = mapOf(
     "torn-extra-answer" to ::tornExtraAnswer,
+    "unanswered-prompt" to ::unansweredPrompt,
     "stuck-watch" to ::stuckWatch,
     "late-crashing-part" to ::lateCrashingPart,
+    "crashing-part-and-kill" to ::crashingPartAndKill,
     "cut-watch" to ::cutWatch,
-    "unanswered-prompt" to ::unansweredPrompt
+    "starved-renewal" to ::starvedRenewal
 )
 
 fun main(arguments: Array<String>) {
