--- a/review/stand-ins/kotlin/review/CrashingPart.kt
+++ b/review/stand-ins/kotlin/review/CrashingPart.kt
@@ -99,11 +99,13 @@
     fun run() {
         val end = System.nanoTime() + totalMs * 1_000_000
         val soundCallers = List(SOUND_CALLERS) { number ->
-            thread { callRepeatedly("sound-$number", SOUND_INTERVAL_MS, SOUND_PART, end) }
+            thread { callRepeatedly("sound-$number", SOUND_PART, end) { SOUND_INTERVAL_MS } }
         }
         Thread.sleep(CALM_MS)
         val part = if (setup.trouble) CRASHING_PART else SOUND_PART
-        callRepeatedly("crashing", intervalMs, part, end)
+        callRepeatedly("crashing", part, end) {
+            if (crashes.size < CRASHES_OF_FIRST_BLOCK) FIRST_INTERVAL_MS else intervalMs
+        }
         soundCallers.forEach { it.join() }
     }
 
@@ -128,7 +130,7 @@
         setup.store.put("servers/${runner.id}", runner.entry())
     }
 
-    private fun callRepeatedly(name: String, interval: Long, part: String, end: Long) {
+    private fun callRepeatedly(name: String, part: String, end: Long, interval: () -> Long) {
         while (System.nanoTime() < end) {
             val number = sent.incrementAndGet()
             val headers = mapOf(
@@ -138,7 +140,7 @@
             )
             val answer = call(gateways[number % gateways.size], "$name-$number", headers)
             setup.record.line("$name-$number: ${answer?.head?.status}, ${answer?.complete}")
-            Thread.sleep(interval)
+            Thread.sleep(interval())
         }
     }
 
@@ -186,8 +188,12 @@
 private const val DOWN_MS = 3000L
 private const val SOUND_CALLERS = 4
 private const val SOUND_INTERVAL_MS = 200L
-private const val CALM_MS = 5000L
-private val KILLS_AT_MS = listOf(54_000L, 76_000L)
+private const val CALM_MS = 4000L
+
+/** The interval until so many crashes have come that the gateways refuse the part. */
+private const val FIRST_INTERVAL_MS = 1000L
+private const val CRASHES_OF_FIRST_BLOCK = 4
+private val KILLS_AT_MS = listOf(51_000L, 71_000L)
 private const val RESTART_MS = 1000L
 
 /** Longest time from the start of the processes until they are ready. */
