Close endpoint connections on bytes beyond a response

Cause: a connection counted as clean as long as its decoder had made no message of what it received. The rest of the first answer waited in the decoder and was joined to the next one. The same held for the HTTP client of all other services: OkHttp reads whatever follows a response as the response to the next call.

The new test in SingleAttemptHttpClientTest got the answers 1, 1, 2 to the calls 1, 2, 3.

Tests of the gateway and clients modules pass.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEvent.kt
@@ -18,6 +18,9 @@
     /** An endpoint stated its load in an answer; [load] is null if the statement is malformed. */
     data class LoadStated(val endpoint: EndpointId, val load: EndpointLoadReport?) : ForwardEvent
 
+    /** An endpoint at [address] sent bytes that the gateway drops. */
+    data class InputDropped(val address: EndpointAddress, val input: UnexpectedInput) : ForwardEvent
+
     /**
      * An attempt has been silent for longer than its limit; it goes on unless it is abandoned. The
      * event is repeated while the attempt stays silent.
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
@@ -21,6 +21,10 @@
         "gypsumroute_loads_rejected_total",
         "Loads stated by endpoints that could not be used"
     ),
+    INPUT_DROPPED(
+        "gypsumroute_input_dropped_total",
+        "Times at which endpoints sent bytes that belong to no open request, by outcome"
+    ),
     PROMPT_PARTS_BLOCKED(
         "gypsumroute_prompt_parts_blocked_total",
         "Decisions to refuse requests with a part of a prompt, or to refuse them for longer"
--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/PlainServiceClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/PlainServiceClient.kt
@@ -17,7 +17,7 @@
     timeouts: HttpTimeouts = HttpTimeouts(read = MAX_SILENCE, call = null),
     private val maxResponseBytes: Long = DEFAULT_MAX_RESPONSE_BYTES
 ) : AutoCloseable {
-    private val httpClient = SingleAttemptHttpClient(timeouts, idleConnections = 0)
+    private val httpClient = SingleAttemptHttpClient(timeouts)
 
     /**
      * Posts [body] to [path] at most once. A response with any status counts as a successful call;
--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
@@ -42,11 +42,14 @@
     var writeStarted: Boolean = false
 }
 
-/** Makes calls within [timeouts] and keeps up to [idleConnections] idle connections for reuse. */
-class SingleAttemptHttpClient(
-    timeouts: HttpTimeouts,
-    idleConnections: Int = DEFAULT_IDLE_CONNECTIONS
-) {
+/**
+ * Makes calls within [timeouts] and keeps up to [idleConnections] idle connections for reuse.
+ *
+ * OkHttp takes whatever a server wrote after a complete response for the response to the next call
+ * on that connection. Connections are therefore reused only with servers that never write more than
+ * was asked for, which does not hold for engines.
+ */
+class SingleAttemptHttpClient(timeouts: HttpTimeouts, idleConnections: Int = 0) {
     private val client = OkHttpClient.Builder()
         .retryOnConnectionFailure(false)
         .followRedirects(false)
@@ -119,7 +122,6 @@
     private companion object {
         /** Limit of calls open at once, where a stream that waits for its engine counts as open. */
         const val MAX_OPEN_CALLS = 10_000
-        const val DEFAULT_IDLE_CONNECTIONS = 8
         const val KEEP_ALIVE_SECONDS = 10L
     }
 }
--- a/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/SingleAttemptHttpClientTest.kt
+++ b/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/SingleAttemptHttpClientTest.kt
@@ -5,6 +5,8 @@
 import java.net.ServerSocket
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.BeforeTest
 import kotlin.test.Test
@@ -17,6 +19,7 @@
 import mockwebserver3.MockResponse
 import mockwebserver3.MockWebServer
 import mockwebserver3.SocketEffect
+import okhttp3.Request
 import org.gypsumroute.api.LeaseId
 
 /**
@@ -59,10 +62,10 @@
         server.enqueue(MockResponse(body = "{}"))
         server.enqueue(MockResponse.Builder().onResponseStart(SocketEffect.CloseSocket()).build())
         server.enqueue(MockResponse(body = "{}"))
-        val client = EngineClient(address, timeouts)
+        val client = SingleAttemptHttpClient(timeouts, idleConnections = 1)
         runBlocking {
-            client.readState()
-            val failure = client.readState().leftOrNull()
+            client.call(requestTo(address), MAX_BYTES)
+            val failure = client.call(requestTo(address), MAX_BYTES).leftOrNull()
             assertIs<ClientFailure.Broken>(failure)
             assertTrue(failure.reached)
         }
@@ -70,6 +73,44 @@
         client.close()
     }
 
+    /** Guards against an answer that a faulty server writes twice and that shifts all later ones. */
+    @Test
+    fun `a second answer on a connection does not answer the next call`() {
+        ServerSocket(0, 5, InetAddress.getByName("127.0.0.1")).use { listener ->
+            thread(isDaemon = true) { answerWithExtra(listener) }
+            val client = SingleAttemptHttpClient(timeouts)
+            val answers = runBlocking {
+                List(3) {
+                    client.call(requestTo("127.0.0.1:${listener.localPort}"), MAX_BYTES)
+                        .getOrNull()?.text
+                }
+            }
+            client.close()
+            assertEquals(listOf("answer 1", "answer 2", "answer 3"), answers)
+        }
+    }
+
+    /** Numbers the requests of all connections, and answers each with its number and once more. */
+    private fun answerWithExtra(listener: ServerSocket) {
+        val requests = AtomicInteger()
+        while (true) {
+            val socket = runCatching { listener.accept() }.getOrNull() ?: return
+            thread(isDaemon = true) {
+                val lines = socket.getInputStream().bufferedReader()
+                while (true) {
+                    val line = runCatching { lines.readLine() }.getOrNull() ?: break
+                    if (line.isNotEmpty()) continue
+                    val body = "answer ${requests.incrementAndGet()}"
+                    val answer = "HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n$body"
+                    socket.getOutputStream().write((answer + answer).encodeToByteArray())
+                }
+            }
+        }
+    }
+
+    private fun requestTo(address: String) =
+        Request.Builder().url(urlBuilderFor(address, "/").build()).build()
+
     @Test
     fun `server errors and redirects are returned as responses and not repeated`() {
         val statuses = listOf(301, 302, 307, 308, 401, 408, 421, 500, 503)
@@ -187,4 +228,8 @@
         .removeHeader("Content-Length")
         .onResponseEnd(SocketEffect.ShutdownConnection)
         .build()
+
+    private companion object {
+        const val MAX_BYTES = 1024L
+    }
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
@@ -8,6 +8,8 @@
  */
 package org.gypsumroute.core.gateway
 
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Step
@@ -34,9 +36,23 @@
 
         is ForwardEvent.LoadStated -> reduceLoadStated(state, event)
 
+        is ForwardEvent.InputDropped -> state.step(
+            logEffect(
+                LogEvent.INPUT_DROPPED,
+                "address" to event.address,
+                "endpoint" to endpointAt(state, event.address),
+                "input" to event.input.code
+            ),
+            countDroppedInput(event.input)
+        )
+
         is ForwardEvent.AttemptStalled -> reduceAttemptStalled(state, event)
 
         is ForwardEvent.AttemptTookOver -> reduceAttemptTookOver(state, event)
 
         is ForwardEvent.AttemptEnded -> reduceAttemptEnded(state, event)
     }
+
+/** The endpoint that is published at an address, or null if there is none any more. */
+private fun endpointAt(state: GatewayState, address: EndpointAddress): EndpointId? =
+    state.endpoints.values.find { it.record.address == address }?.record?.id
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
@@ -10,6 +10,7 @@
 import org.gypsumroute.api.MetricLabels
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.UnexpectedInput
 
 /** Outcome of requests that were answered with an endpoint's failure. */
 internal const val ENDPOINT_FAILED = "endpoint_failed"
@@ -53,6 +54,10 @@
     MetricLabels(service = record.service, outcome = STALLED)
 )
 
+/** Counts bytes of an endpoint that belong to no open request. */
+internal fun countDroppedInput(input: UnexpectedInput): Effect =
+    RuntimeEffect.Count(Metric.INPUT_DROPPED, MetricLabels(outcome = input.code))
+
 internal fun countRead(event: PublishedEvent): Effect = RuntimeEffect.Count(
     Metric.STORE_READS,
     MetricLabels(
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -23,6 +23,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.UnexpectedInput
 
 /** Reads responses for the attempt that currently uses the connection. */
 internal class EndpointConnection(
@@ -53,6 +54,9 @@
     var nextResponseIsBodiless = false
         private set
 
+    /** Whether a request was sent whose response is not complete. */
+    val awaitsResponse: Boolean get() = attempt != null
+
     /** Whether the connection is open, free, and received nothing unexpected. */
     val isUsable: Boolean get() = channel.isActive && attempt == null && failure == null
 
@@ -85,6 +89,17 @@
         channel.config().isAutoRead = true
     }
 
+    /**
+     * Closes the connection because of bytes that no request asked for. They could be taken for
+     * the response to the next request, or for a part of it.
+     */
+    fun closeUnexpectedInput() {
+        if (failure != null) return
+        failure = "bytes without a request"
+        connections.inputDropped(this, UnexpectedInput.WITHOUT_REQUEST)
+        channel.close()
+    }
+
     /** Closes the connection without notifying its attempt. */
     fun close() {
         attempt = null
@@ -94,10 +109,8 @@
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val current = attempt
         if (current == null || message !is HttpObject) {
-            // Data that no request asked for could be taken for the response to the next request.
             ReferenceCountUtil.release(message)
-            failure = "bytes without a request"
-            channel.close()
+            closeUnexpectedInput()
             return
         }
         if (message.decoderResult().isFailure) {
@@ -130,6 +143,9 @@
         if (informational) return
         val head = codec.readResponse(response.status().code()) { response.headers()[it] }
         discarding = !belongsTo(current, response, head)
+        if (discarding && !passedOver) {
+            connections.inputDropped(this, UnexpectedInput.OTHER_RESPONSE)
+        }
         passedOver = passedOver || discarding
         keepsOpen = HttpUtil.isKeepAlive(response)
         keepAliveTime = keepAliveTimeOf(response)
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnections.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnections.kt
@@ -17,9 +17,17 @@
 import jdk.net.ExtendedSocketOptions
 import kotlin.time.Duration
 import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.UnexpectedInput
 
-/** Opens connections and stores idle ones. All functions run on the traffic event loop. */
-internal class EndpointConnections(loop: EventLoopGroup, private val codec: ForwardCodec) {
+/**
+ * Opens connections and stores idle ones. All functions run on the traffic event loop, and call
+ * [onInputDropped] there with the endpoint that sent bytes without a request for them.
+ */
+internal class EndpointConnections(
+    loop: EventLoopGroup,
+    private val codec: ForwardCodec,
+    private val onInputDropped: (EndpointAddress, UnexpectedInput) -> Unit
+) {
     private val idle = HashMap<EndpointAddress, ArrayDeque<EndpointConnection>>()
     private val bootstrap = Bootstrap().group(loop)
         .channel(NioSocketChannel::class.java)
@@ -67,6 +75,10 @@
         }
     }
 
+    /** Called when [connection] received bytes that belong to no open request. */
+    fun inputDropped(connection: EndpointConnection, input: UnexpectedInput) =
+        onInputDropped(connection.address, input)
+
     /** Stores an idle connection for a later request. */
     fun addIdle(connection: EndpointConnection) {
         idle.getOrPut(connection.address) { ArrayDeque() }.addLast(connection)
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
@@ -32,7 +32,9 @@
     private val emit: EventSink
 ) {
     private val exchanges = HashMap<RequestId, ForwardExchange>()
-    private val connections = EndpointConnections(loop, codec)
+    private val connections = EndpointConnections(loop, codec) { address, input ->
+        emit(ForwardEvent.InputDropped(address, input))
+    }
     private val server = CallerServer(loop, this)
     private var nextRequest = 0L
 
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -35,8 +35,13 @@
 internal class TrafficFixture : AutoCloseable {
     private val loop = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val events = LinkedBlockingQueue<Event>()
+
+    /** Reports of dropped bytes, apart from [events], since they come at any time. */
+    val droppedInput = LinkedBlockingQueue<ForwardEvent.InputDropped>()
     private val openResources = ArrayList<AutoCloseable>()
-    val traffic = ForwardTraffic(loop, testCodec) { events += it }
+    val traffic = ForwardTraffic(loop, testCodec) {
+        if (it is ForwardEvent.InputDropped) droppedInput += it else events += it
+    }
     private val port = traffic.listen(InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).port
     private var nextAttempt = 1L
 
