--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
@@ -95,15 +95,15 @@
     }
 
     /**
-     * Spreads the prompt over the memory of several engines; null if the free memory of all engines
-     * together is not enough.
+     * Spreads the prompt over the memory of several engines; null if the free memory of all that a
+     * request can name is not enough.
      */
     private fun splitAcrossMemory(): ForwardChoice? {
         val byFreeMemory = engines.sortedByDescending { it.freeMemory }
         val first = byFreeMemory.first()
         var missing = size.context - first.freeMemory
         val reserved = LinkedHashMap<EndpointId, Tokens>()
-        for (engine in byFreeMemory.drop(1)) {
+        for (engine in byFreeMemory.drop(1).take(MAX_HELPERS)) {
             if (missing <= 0) break
             val tokens = minOf(engine.freeMemory, missing)
             reserved[engine.id] = Tokens(tokens)
@@ -113,7 +113,7 @@
         val holders = byFreeMemory.drop(1).take(reserved.size)
         val partMs = prefillMs / MAX_READERS
         val others = byFreeMemory.drop(1 + reserved.size).sortedBy { it.helperLoss(partMs) }
-        val groups = (0..minOf(others.size, MAX_READERS - 1 - holders.size))
+        val groups = (0..minOf(others.size, MAX_HELPERS - holders.size))
             .map { listOf(first) + holders + others.take(it) }
         return choiceOf(groups.minBy { predictedLoss(it) }, reserved)
     }
@@ -252,8 +252,11 @@
         /** With fewer, two of the requests would often choose the same engine. */
         const val ENGINES_PER_UNREPORTED_REQUEST = 4
 
-        /** The endpoint and at most 16 helpers; a request cannot name more helpers. */
-        const val MAX_READERS = 17
+        /** A request cannot name more helpers. */
+        const val MAX_HELPERS = 16
+
+        /** The endpoint and its helpers. */
+        const val MAX_READERS = MAX_HELPERS + 1
         val TYPICAL_OUTPUT = Tokens(1500)
         const val USABLE_MEMORY_SHARE = 0.95
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/EnginePlacementTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/EnginePlacementTest.kt
@@ -1,12 +1,17 @@
 package org.gypsumroute.core.gateway
 
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
 import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.GapTolerance
 import org.gypsumroute.api.Moment
@@ -110,12 +115,42 @@
         assertTrue(choice.endpoint !in choice.helpers)
     }
 
+    /** Guards against a placement that fails, so that its request never gets an answer. */
+    @Test
+    fun `a prompt that needs the memory of more engines than a request can name is not placed`() {
+        val fullEngine = EngineLoad(context = 400_000)
+        val candidates = (1..40).map { engine("e$it", fullEngine) }
+        val freeMemory = 450_000 * 95 / 100 - 400_000
+        assertNull(placeLong(candidates, prompt = 18L * freeMemory))
+        val largest = assertNotNull(placeLong(candidates, prompt = 17L * freeMemory - 1500))
+        assertEquals(16, largest.helpers.size)
+        assertEquals(16, largest.reservations.size)
+    }
+
+    /** Guards against any number and size of engines and prompts with which a placement fails. */
+    @Property(tries = 2000)
+    fun `a placement names at most sixteen helpers, once each, with the memory it needs`(
+        @ForAll seed: Long
+    ) {
+        val random = Random(seed)
+        val mostContext = random.nextLong(1, 450_000)
+        val candidates = (1..random.nextInt(1, 60)).map { number ->
+            val open = random.nextInt(12)
+            val context = mostContext - random.nextLong(mostContext / 10 + 1)
+            engine("e$number", EngineLoad(open, decodingRequests = open, context = context))
+        }
+        val choice = placeLong(candidates, prompt = random.nextLong(3_000_000)) ?: return
+        assertTrue(choice.helpers.size <= 16, "${choice.helpers.size} helpers")
+        assertEquals((choice.helpers + choice.endpoint).toSet().size, choice.helpers.size + 1)
+        assertTrue(choice.helpers.containsAll(choice.reservations.keys))
+    }
+
     /** Gateways must leave the same engines to long prompts without exchanging messages. */
     @Test
     fun `short and long prompts prefer engines from opposite ends of one order`() {
         val engines = (1..8).map { engine("e$it") }
         val first = place(engines, 5000)!!.endpoint
-        val second = place(engines.shuffled(kotlin.random.Random(7)), 5000)!!.endpoint
+        val second = place(engines.shuffled(Random(7)), 5000)!!.endpoint
         assertEquals(first, second)
         assertNotEquals(first, placeLong(engines, prompt = 100_000)!!.endpoint)
     }
