End a request if the reducer fails on one of its events

Cause: the control thread logged 6001 and dropped the event. With an arrival it dropped the only trace of the request: no record, no deadline, nobody to answer. The same held for each other event: memory stayed reserved, a failed read of the store or timer was the last one, and a failed clock reading stopped the time.

Fix: reduceOrRecover computes a recovery from the state before the event. A request that just arrived is refused as not run (internal_error), one that may have run gets 502 or has its answer cut, its memory is released, timers fire again and reads are repeated. Entries recover in the same way. Traffic effects that fail with any exception end their request, and orders about memory always end with an event.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ErrorKind.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ErrorKind.kt
@@ -46,6 +46,7 @@
     DATA_CENTRE_OUT("data_centre_out", 503, NOT_RUN, LATER),
     NOT_READY("not_ready", 503, NOT_RUN, LATER),
     PROMPT_PART_BLOCKED("prompt_part_blocked", 503, NOT_RUN, LATER),
+    INTERNAL_ERROR("internal_error", 503, NOT_RUN, LATER),
     DEADLINE_UNREACHABLE("deadline_unreachable", 503, NOT_RUN, LATER),
     DEADLINE_EXCEEDED("deadline_exceeded", 504, UNKNOWN, CALLER_DECIDES),
     DRAIN_EXPIRED("drain_expired", 504, UNKNOWN, CALLER_DECIDES),
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/AdmissionReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/admission/AdmissionReducer.kt
@@ -190,7 +190,7 @@
  * Refuses a request that was not admitted. If [callerNotified], the front end has already answered
  * the caller, so no effect to answer it is added.
  */
-private fun refuse(
+internal fun refuse(
     state: EntryState,
     request: RequestId,
     failure: Failure,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -81,7 +81,7 @@
     return applySnapshot(noted, event)
 }
 
-private fun notePeerAnswer(state: GatewayState): GatewayState =
+internal fun notePeerAnswer(state: GatewayState): GatewayState =
     state.copy(published = state.published.copy(peerReadPending = false))
 
 /** Requests the changes after the known revision, or all records if none is known. */
@@ -289,7 +289,7 @@
     }
 }
 
-private fun reduceReadFailed(
+internal fun reduceReadFailed(
     state: GatewayState,
     event: PublishedEvent.ReadFailed
 ): Step<GatewayState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -152,7 +152,7 @@
  * Removes the request, stops its open attempts, releases the memory reserved for it and records its
  * metrics.
  */
-private fun closeRequest(
+internal fun closeRequest(
     state: GatewayState,
     record: ForwardRecord,
     outcome: String
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
@@ -183,7 +183,7 @@
     }
 }
 
-private fun recordHolding(state: GatewayState, id: ReservationId): ForwardRecord? =
+internal fun recordHolding(state: GatewayState, id: ReservationId): ForwardRecord? =
     state.requests.values.find { id in it.reservations }
 
 private const val RENEWALS_PER_HOLD = 3
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryHarness.kt
@@ -36,6 +36,7 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.SegmentHandle
 import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.core.admission.freeMemory
@@ -54,7 +55,8 @@
         placement = PlacementPolicies.expectedWait,
         retry = RetryPolicies.budgeted
     ),
-    connected: Boolean = true
+    connected: Boolean = true,
+    private val reducer: (NodeState, Event) -> Step<NodeState> = ::reduce
 ) {
     val effects = mutableListOf<Effect>()
     var now = Moment(1)
@@ -79,7 +81,7 @@
     }
 
     private fun step(event: Event) {
-        val step = reduce(state, event)
+        val step = reducer(state, event)
         state = step.state as EntryState
         effects += step.effects
     }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryRandomEventsTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/EntryRandomEventsTest.kt
@@ -10,11 +10,13 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import org.gypsumroute.api.ActionKey
+import org.gypsumroute.api.AnswerEvent
 import org.gypsumroute.api.CallerEffect
 import org.gypsumroute.api.CallerEvent
 import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Event
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.HostRecord
 import org.gypsumroute.api.LeaseId
@@ -30,6 +32,7 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.ServiceKind
+import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.WorkKind
 import org.gypsumroute.api.WorkOrder
@@ -48,17 +51,31 @@
     fun `every request ends once and every lease is released`(@ForAll seed: Long) {
         RandomEntry(Random(seed)).run()
     }
+
+    /** Guards against requests that nobody answers because the reducer failed on an event. */
+    @Property(seed = "8", tries = 400)
+    fun `every request ends once if the reducer fails on any events`(@ForAll seed: Long) {
+        val reducer = FailingReducer(seed, share = 0.05) {
+            it is CallerEvent || it is AnswerEvent || it is PeerEvent.Received ||
+                it is RuntimeEvent.ClockRead || it is RuntimeEvent.TimerFired
+        }
+        RandomEntry(Random(seed), reducer).run()
+    }
 }
 
 /** Drives one entry with random events and checks its effects against what agents received. */
-private class RandomEntry(private val random: Random) {
+private class RandomEntry(
+    private val random: Random,
+    reducer: (NodeState, Event) -> Step<NodeState> = ::reduce
+) {
     private val hostNames = listOf("a1", "a2", "a3", "a4", "a5", "a6", "p1", "p2")
     private val hosts = hostNames.map { name ->
         val pool = if (name.startsWith("a")) "menu" else "desk"
         agent(name, if (name.last() in "123") "thamel" else "patan", pool = pool)
     }
     private var documentVersion = 1L
-    private val entry = EntryHarness(listOf(menuWriter(emptySet()), orderDesk()), hosts)
+    private val entry =
+        EntryHarness(listOf(menuWriter(emptySet()), orderDesk()), hosts, reducer = reducer)
     private var verifiedEffects = 0
     private var requestCount = 0
     private val orders = mutableMapOf<LeaseId, WorkOrder>()
@@ -77,6 +94,8 @@
         }
         entry.feed(RuntimeEvent.DrainRequested)
         entry.advance(20.minutes)
+        // One event may fail, and the next one then ends what it would have ended.
+        repeat(FURTHER_CLOCK_READINGS) { entry.advance(1.seconds) }
         check()
         (accepted + failed - takenOrLeft).forEach { takeAnswer(it) }
         check()
@@ -288,5 +307,6 @@
 
     private companion object {
         const val RANDOM_EVENTS = 250
+        const val FURTHER_CLOCK_READINGS = 50
     }
 }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -44,6 +44,7 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.ServiceRule
+import org.gypsumroute.api.Step
 import org.gypsumroute.api.TableVersion
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
@@ -51,12 +52,20 @@
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.NodeIdentity
+import org.gypsumroute.core.NodeState
 import org.gypsumroute.core.Timings
 import org.gypsumroute.core.defaultPolicies
 import org.gypsumroute.core.reduce
 
-/** Feeds events to the reducer, keeps the effects of the last one and fires timers in time. */
-internal class GatewayHarness(bounds: GatewayBounds = sampleBounds) {
+/**
+ * Feeds events to [reducer], keeps the effects of the last one and fires timers in time. By default
+ * an exception of the reducer is not recovered from, so that it fails the test.
+ */
+internal class GatewayHarness(
+    bounds: GatewayBounds = sampleBounds,
+    placement: ForwardPlacement = ForwardPlacements.leastPredictedLoss,
+    private val reducer: (NodeState, Event) -> Step<NodeState> = ::reduce
+) {
     var state: GatewayState = GatewayState(
         common = CommonState(
             NodeIdentity(
@@ -70,7 +79,7 @@
             defaultPolicies
         ),
         bounds = bounds,
-        policies = GatewayPolicies(ForwardPlacements.leastPredictedLoss),
+        policies = GatewayPolicies(placement),
         exchange = ExchangeState(EndpointAddress("10.0.0.1", 7000), emptyList())
     )
         private set
@@ -101,7 +110,7 @@
     }
 
     private fun step(event: Event): List<Effect> {
-        val step = reduce(state, event)
+        val step = reducer(state, event)
         state = step.state as GatewayState
         for (effect in step.effects) {
             if (effect is RuntimeEffect.SetTimer) timers[effect.timer] = now + effect.after
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPropertyTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPropertyTest.kt
@@ -33,6 +33,8 @@
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.core.FailingReducer
+import org.gypsumroute.core.reduce
 
 class GatewayPropertyTest {
     @Test
@@ -49,14 +51,30 @@
         }
     }
 
+    /** Guards against requests that nobody answers because the reducer failed on an event. */
+    @Test
+    fun `a request ends once and returns its memory if the reducer fails on any events`() {
+        repeat(SEEDS) { seed ->
+            RandomGatewayRun(
+                seed,
+                failures = FailingReducer(seed.toLong(), FAILURE_SHARE)
+            ).run(STEPS)
+        }
+    }
+
     private companion object {
+        const val FAILURE_SHARE = 0.05
         const val SEEDS = 300
         const val STEPS = 400
     }
 }
 
 /** One random sequence of events, and a model of what callers and endpoints observe of it. */
-private class RandomGatewayRun(private val seed: Int, private val drainStep: Int? = null) {
+private class RandomGatewayRun(
+    private val seed: Int,
+    private val drainStep: Int? = null,
+    failures: FailingReducer? = null
+) {
     private class ModelRequest(val repetition: Repetition, val maxSends: Int) {
         var sends = 0
         var mayHaveRun = false
@@ -70,7 +88,7 @@
     }
 
     private val random = Random(seed)
-    private val harness = GatewayHarness()
+    private val harness = GatewayHarness(reducer = failures ?: ::reduce)
     private val requests = LinkedHashMap<RequestId, ModelRequest>()
     private val reserved = HashSet<ReservationId>()
     private val retries = ArrayList<Moment>()
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
@@ -94,9 +94,7 @@
      */
     private fun executeSafely(effect: ForwardEffect, receivedAt: TimeMark) = try {
         executeOnLoop(effect, receivedAt)
-    } catch (exception: IllegalArgumentException) {
-        onFailure(effect, exception)
-    } catch (exception: IllegalStateException) {
+    } catch (exception: RuntimeException) {
         onFailure(effect, exception)
     }
 
@@ -199,8 +197,12 @@
         emit(ForwardEvent.AttemptEnded(request, attempt.id, outcome))
     }
 
-    private fun onFailure(effect: ForwardEffect, exception: Exception) {
-        val send = effect as? ForwardEffect.Send ?: throw exception
+    private fun onFailure(effect: ForwardEffect, exception: RuntimeException) {
+        val send = effect as? ForwardEffect.Send
+        if (send == null) {
+            answeredRequestOf(effect)?.let { closeExchange(it)?.caller?.abortResponse() }
+            throw exception
+        }
         exchanges[send.request]?.attempts?.find { it.id == send.attempt }?.abandon()
         emit(
             ForwardEvent.AttemptEnded(
@@ -211,6 +213,14 @@
         )
     }
 
+    /** The request that an effect ends, or null if it ends none. */
+    private fun answeredRequestOf(effect: ForwardEffect): RequestId? = when (effect) {
+        is ForwardEffect.RelayFailure -> effect.request
+        is ForwardEffect.Refuse -> effect.request
+        is ForwardEffect.Cut -> effect.request
+        else -> null
+    }
+
     private fun send(effect: ForwardEffect.Send, receivedAt: TimeMark) {
         val exchange = exchanges[effect.request] ?: return
         val delivering = exchange.attempts.find { it.isDelivering }
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/ControlThread.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/ControlThread.kt
@@ -25,7 +25,7 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.NodeState
-import org.gypsumroute.core.reduce
+import org.gypsumroute.core.reduceOrRecover
 
 /**
  * Runs the reducer of one process on its own thread. The first event after [start] is `Started`.
@@ -44,7 +44,7 @@
     private val metrics: NodeMetrics,
     private val logger: EventLogger,
     val burnRates: BurnRateTracker = BurnRateTracker(timeSource),
-    private val reducer: (NodeState, Event) -> Step<NodeState> = ::reduce
+    private val reducer: (NodeState, Event) -> Step<NodeState> = ::reduceOrRecover
 ) {
     private val origin = timeSource.markNow()
     private val mailbox = Mailbox<Event>()
