Look at all parts of a prompt for one that crashes endpoints

Cause: the list of a prompt's parts was cut after the sixteenth, so losses under later parts were never evidence. Behind that cut were two more of its kind: 256 entries of evidence, where entries of equal strength displaced each other, and reports that named the same eight parts each time.

Evidence: PlatformHeadersTest read 16 of 4,999 parts. With the list read in full but the old bounds, two new tests in CrashReducerTest failed: 20 endpoints ended by 10 requests among 400 other parts, and parts that never were in a report.

Fix: the limit on headers bounds the list; all of it is read, also from several header fields. Evidence holds more parts than one prompt can name, and a report names groups of parts in turn within the same datagram size.

Tests of CrashReducer, PartEvidence, ReportCodec, PlatformHeaders and, before the last bound of a report, CrashSimulation pass.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/CrashReport.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/CrashReport.kt
@@ -13,11 +13,11 @@
 )
 
 /**
- * Some [losses] of endpoints under [part], first of all those that came one after the other.
- * [othersServed] counts requests without the part that were served since the first loss.
+ * Some [losses] of endpoints under each of [parts], first of all those that came one after the
+ * other. [othersServed] counts requests without the part that were served since the first loss.
  */
 data class ReportedSuspicion(
-    val part: PromptPartId,
+    val parts: List<PromptPartId>,
     val othersServed: Int,
     val losses: List<ReportedLoss>
 )
@@ -30,5 +30,5 @@
     val lostAgo: Duration
 )
 
-/** A request with [part] was answered completely. */
-data class ReportedClearance(val part: PromptPartId, val ago: Duration)
+/** A request with [parts] was answered completely. */
+data class ReportedClearance(val parts: List<PromptPartId>, val ago: Duration)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/BlockedParts.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/BlockedParts.kt
@@ -25,14 +25,22 @@
  * last one, since the first parts of prompts are the most widely shared.
  */
 internal fun findBlockedPart(state: GatewayState, record: ForwardRecord): BlockedPart? {
-    if (state.crashes.parts.isEmpty()) return null
-    return record.head.promptParts.asReversed().firstNotNullOfOrNull { part ->
-        state.crashes.parts[part]
-            ?.takeIf { it.isSuspect && appliesTo(it, record.organisation) }
-            ?.takeUnless { isExplainedByOthers(state.crashes, part, it, record.head.promptParts) }
-            ?.let { evidence ->
-                waitFor(state, record, part, evidence)?.let { BlockedPart(part, evidence, it) }
-            }
+    val known = state.crashes.parts
+    if (known.isEmpty()) return null
+    val requested = record.head.promptParts
+    val suspects = requested.asReversed().filter { part ->
+        known[part]?.let { it.isSuspect && appliesTo(it, record.organisation) } == true
+    }
+    if (suspects.isEmpty()) return null
+    val explained = startsOfOthers(state.crashes, requested.toSet())
+    return suspects.firstNotNullOfOrNull { part ->
+        val evidence = known.getValue(part)
+        val wait = if (isExplainedBy(explained, evidence)) {
+            null
+        } else {
+            waitFor(state, record, part, evidence)
+        }
+        wait?.let { BlockedPart(part, evidence, it) }
     }
 }
 
@@ -64,26 +72,26 @@
     return affected.size > 1 || digestOf(organisation) in affected
 }
 
+/** The starts of endpoints that were lost under suspect parts other than [requested] ones. */
+internal fun startsOfOthers(
+    crashes: CrashEvidence,
+    requested: Set<PromptPartId>
+): Set<EndpointStart> {
+    val starts = HashSet<EndpointStart>()
+    for ((part, evidence) in crashes.parts) {
+        if (part !in requested && evidence.isSuspect) starts += evidence.starts
+    }
+    return starts
+}
+
 /**
- * Whether other suspect parts, which the request does not have, account for the losses of a part.
- * For example, a first part that many prompts begin with is lost at each endpoint that one of them
+ * Whether the losses of other parts, at the starts [explained], account for those of a part. For
+ * example, a first part that many prompts begin with is lost at each endpoint that one of them
  * crashes. A single loss that only the part has makes no difference, since the report of it on the
  * other part may not have arrived yet.
  */
-internal fun isExplainedByOthers(
-    crashes: CrashEvidence,
-    part: PromptPartId,
-    evidence: PartEvidence,
-    requested: List<PromptPartId>
-): Boolean {
-    val explained = HashSet<EndpointStart>()
-    for ((otherPart, other) in crashes.parts) {
-        if (otherPart != part && otherPart !in requested && other.isSuspect) {
-            explained += other.starts
-        }
-    }
-    return evidence.starts.count { it !in explained } <= UNREPORTED_LOSSES
-}
+internal fun isExplainedBy(explained: Set<EndpointStart>, evidence: PartEvidence): Boolean =
+    evidence.starts.count { it !in explained } <= UNREPORTED_LOSSES
 
 /** The time until the request may try the part again, or null if it may do so now. */
 private fun waitFor(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
@@ -32,54 +32,70 @@
     val isEmpty: Boolean get() = parts.isEmpty() && clearances.isEmpty()
 
     /** Adds a loss that this gateway saw under these parts. */
-    fun withOwnLoss(lost: List<PromptPartId>, loss: EndpointLoss): CrashEvidence {
-        if (lost.isEmpty()) return this
-        val counted = copy(ownLosses = ownLosses + 1)
-        return lost.fold(counted) { next, part -> next.withLoss(part, loss) }
-    }
+    fun withOwnLoss(lost: List<PromptPartId>, loss: EndpointLoss): CrashEvidence =
+        if (lost.isEmpty()) {
+            this
+        } else {
+            copy(ownLosses = ownLosses + 1).withLosses(lost, listOf(loss))
+        }
 
     /** Clears the parts of a request that was served; it also shows that others can be served. */
     fun withServed(served: Collection<PromptPartId>, now: Moment): CrashEvidence {
         if (parts.isEmpty()) return this
         val cleared = served.filter { it in parts }.fold(this) { next, part ->
             next.withClearance(part, Clearance(now, parts.getValue(part).losses.size, own = true))
-        }
+        }.bounded()
         val left = cleared.parts.builder()
-        for ((part, evidence) in cleared.parts) left[part] = evidence.withOtherServed()
+        for ((part, evidence) in cleared.parts) {
+            if (evidence.othersServed <
+                ENOUGH_OTHERS_SERVED
+            ) {
+                left[part] = evidence.withOtherServed()
+            }
+        }
         return cleared.copy(parts = left.build())
     }
 
     /** Adds what another gateway reported. */
     fun withReport(report: CrashReport, now: Moment): CrashEvidence {
-        val cleared = report.clearances.take(MAX_REPORTED).fold(this) { next, reported ->
+        if (report == CrashReport()) return this
+        val cleared = report.clearances.fold(this) { next, reported ->
             val clearance = Clearance(now + -reported.ago, refuted = 0, own = false)
-            next.withClearance(reported.part, clearance)
+            reported.parts.fold(next) { current, part -> current.withClearance(part, clearance) }
         }
-        return report.suspicions.take(MAX_REPORTED).fold(cleared) { next, reported ->
+        return report.suspicions.fold(cleared) { next, reported ->
             next.withSuspicion(reported, now)
-        }
+        }.bounded()
     }
 
-    /** The evidence that the other gateways need: the strongest, and what was refuted lately. */
-    fun reportAt(now: Moment): CrashReport {
+    /**
+     * The evidence that the other gateways need: the strongest, and what was refuted lately. What
+     * does not fit into one report is in those with one of the next values of [turn].
+     */
+    fun reportAt(now: Moment, turn: Long = 0): CrashReport {
         if (isEmpty) return CrashReport()
         val suspicions = parts.entries
             .filter { (_, it) -> it.isSuspect || now - it.losses.last().lostAt < REPORTING_TIME }
-            .sortedWith(compareByDescending(STRENGTH) { it.value })
-            .take(MAX_REPORTED)
+            .groupBy({ it.value }, { it.key }).entries
+            .sortedWith(compareByDescending(STRENGTH) { it.key })
         val refuted = clearances.entries
             .filter { (_, it) -> it.own && now - it.at < REPORTING_TIME }
-            .sortedWith(compareByDescending(SIGNIFICANCE) { it.value })
-            .take(MAX_REPORTED)
+            .groupBy({ it.value }, { it.key }).entries
+            .sortedWith(compareByDescending(SIGNIFICANCE) { it.key })
         return CrashReport(
-            suspicions.map { (part, evidence) ->
+            selectForReport(suspicions, turn).map { (evidence, group) ->
                 ReportedSuspicion(
-                    part,
+                    partsForReport(group, suspicions.size, MAX_REPORTED_PARTS, turn),
                     evidence.othersServed,
                     evidence.mostTelling(MAX_REPORTED_LOSSES).map { reportOf(it, now) }
                 )
             },
-            refuted.map { (part, clearance) -> ReportedClearance(part, now - clearance.at) }
+            selectForReport(refuted, turn).map { (clearance, group) ->
+                ReportedClearance(
+                    partsForReport(group, refuted.size, MAX_CLEARED_PARTS, turn),
+                    now - clearance.at
+                )
+            }
         )
     }
 
@@ -97,14 +113,20 @@
         return copy(parts = keptParts.build(), clearances = keptClearances.build())
     }
 
-    private fun withLoss(
-        part: PromptPartId,
-        loss: EndpointLoss,
+    private fun withLosses(
+        lost: Collection<PromptPartId>,
+        losses: List<EndpointLoss>,
         delay: Duration = Duration.ZERO
     ): CrashEvidence {
-        if (clearances[part]?.let { loss.lostAt <= it.at + delay } == true) return this
-        val evidence = parts[part]?.plus(loss, delay) ?: PartEvidence(listOf(loss))
-        return copy(parts = parts.put(part, evidence).bounded(STRENGTH))
+        val changed = parts.builder()
+        for (part in lost) {
+            val refutedAt = clearances[part]?.at
+            for (loss in losses) {
+                if (refutedAt != null && loss.lostAt <= refutedAt + delay) continue
+                changed[part] = changed[part]?.plus(loss, delay) ?: PartEvidence(listOf(loss))
+            }
+        }
+        return copy(parts = changed.build()).bounded()
     }
 
     private fun withClearance(part: PromptPartId, clearance: Clearance): CrashEvidence {
@@ -113,24 +135,32 @@
         val left = parts[part]?.after(clearance.at)
         return copy(
             parts = if (left == null) parts.remove(part) else parts.put(part, left),
-            clearances = clearances.put(part, clearance).bounded(compareBy { it.at })
+            clearances = clearances.put(part, clearance)
         )
     }
 
+    /** Forgets the weakest evidence and the oldest clearances if there are too many. */
+    private fun bounded(): CrashEvidence = copy(
+        parts = parts.bounded(STRENGTH),
+        clearances = clearances.bounded(compareBy { it.at })
+    )
+
     private fun withSuspicion(reported: ReportedSuspicion, now: Moment): CrashEvidence {
-        val losses = reported.losses.take(MAX_REPORTED_LOSSES).map { lossOf(it, now) }
-        val next = losses.fold(this) { next, loss ->
-            next.withLoss(reported.part, loss, MAX_REPORT_DELAY)
+        val losses = reported.losses.map { lossOf(it, now) }
+        if (losses.isEmpty()) return this
+        val next = withLosses(reported.parts, losses, MAX_REPORT_DELAY)
+        val starts = losses.map { it.start }
+        val othersServed = reported.othersServed.coerceAtMost(ENOUGH_OTHERS_SERVED)
+        val counted = next.parts.builder()
+        for (part in reported.parts) {
+            val evidence = counted[part] ?: continue
+            // A count that began with a loss that was refuted since does not hold for the others.
+            val noneRefuted = evidence.starts.containsAll(starts)
+            if (noneRefuted && othersServed > evidence.othersServed) {
+                counted[part] = evidence.copy(othersServed = othersServed)
+            }
         }
-        val evidence = next.parts[reported.part] ?: return next
-        if (losses.isEmpty()) return next
-        // A count that began with a loss that was refuted since does not hold for the others.
-        val noneRefuted = evidence.starts.containsAll(losses.map { it.start })
-        if (!noneRefuted || reported.othersServed <= evidence.othersServed) return next
-        val counted = evidence.copy(
-            othersServed = reported.othersServed.coerceAtMost(ENOUGH_OTHERS_SERVED)
-        )
-        return next.copy(parts = next.parts.put(reported.part, counted))
+        return next.copy(parts = counted.build())
     }
 
     private companion object {
@@ -144,11 +174,36 @@
     }
 }
 
-/** Removes the least entry if there are more than [MAX_ENTRIES]. */
+/** Removes the least entries if there are more than [MAX_ENTRIES], so many that room is left. */
 private fun <V> PersistentMap<PromptPartId, V>.bounded(
     order: Comparator<V>
-): PersistentMap<PromptPartId, V> =
-    if (size <= MAX_ENTRIES) this else remove(entries.minWith(compareBy(order) { it.value }).key)
+): PersistentMap<PromptPartId, V> {
+    if (size <= MAX_ENTRIES) return this
+    val left = builder()
+    entries.sortedWith(compareBy(order) { it.value })
+        .take(size - ENTRIES_AFTER_REMOVAL)
+        .forEach { left.remove(it.key) }
+    return left.build()
+}
+
+/** The first [items], which are always reported, and some of the others in turn. */
+private fun <T> selectForReport(items: List<T>, turn: Long): List<T> = items.take(ALWAYS_REPORTED) +
+    windowOf(items.drop(ALWAYS_REPORTED), MAX_REPORTED - ALWAYS_REPORTED, turn)
+
+/** The parts of one of [groups] groups that share the room for [room] parts in a report. */
+private fun partsForReport(
+    group: List<PromptPartId>,
+    groups: Int,
+    room: Int,
+    turn: Long
+): List<PromptPartId> = windowOf(group, room / groups.coerceAtMost(MAX_REPORTED), turn)
+
+/** At most [count] of [items], others for each [turn], so that all have their turn. */
+private fun <T> windowOf(items: List<T>, count: Int, turn: Long): List<T> {
+    if (items.size <= count) return items
+    val begin = Math.floorMod(turn * count, items.size.toLong()).toInt()
+    return List(count) { items[(begin + it) % items.size] }
+}
 
 private fun reportOf(loss: EndpointLoss, now: Moment) =
     ReportedLoss(loss.start, loss.organisation, now - loss.sentAt, now - loss.lostAt)
@@ -160,8 +215,19 @@
     now + -reported.lostAgo
 )
 
-private const val MAX_ENTRIES = 256
+/** More than the parts of several prompts whose headers are as long as callers may send them. */
+internal const val MAX_ENTRIES = 8192
+private const val ENTRIES_AFTER_REMOVAL = MAX_ENTRIES / 8 * 7
+
+/** Groups of parts with equal evidence in one report, which has to fit into a datagram. */
 internal const val MAX_REPORTED = 8
+private const val ALWAYS_REPORTED = MAX_REPORTED / 2
+
+/** Suspected parts of all groups in one report. */
+private const val MAX_REPORTED_PARTS = 24
+
+/** Cleared parts of all groups in one report. */
+private const val MAX_CLEARED_PARTS = 16
 private const val MAX_REPORTED_LOSSES = 4
 
 /** Ages in a report are too low by its time on the way, which is not known. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
@@ -7,10 +7,12 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import org.gypsumroute.api.CrashReport
+import org.gypsumroute.api.Effect
 import org.gypsumroute.api.EndpointStart
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Metric
 import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.Moment
 import org.gypsumroute.api.OrganisationDigest
 import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.PromptPartId
@@ -48,7 +50,8 @@
         "endpoint" to attempt.endpoint,
         "start" to attempt.startStamp,
         "organisation" to record.organisation,
-        "parts" to record.head.promptParts.joinToString(" "),
+        "parts" to listOfParts(record.head.promptParts),
+        "parts_in_all" to record.head.promptParts.size,
         "begun" to record.answerStarted,
         "open_beside" to (state.endpoints[attempt.endpoint]?.work?.size ?: 0),
         "sent_ago" to (now - attempt.sentAt)
@@ -80,40 +83,42 @@
     if (next == before) return step()
     val changed = (before.parts.keys + next.parts.keys)
         .filter { before.parts[it] !== next.parts[it] }
-    return copy(crashes = next).step()
-        .thenEach(changed) { state, part ->
-            logSuspicion(state, part, before.parts[part], next.parts[part])
+        .filter { blockOf(before.parts[it]) != blockOf(next.parts[it]) }
+    val (blocked, cleared) = changed.partition { blockOf(next.parts[it]) != null }
+    val changedState = copy(crashes = next)
+    return changedState
+        .step(*cleared.take(MAX_LOGGED_PARTS).map(::clearedLog).toTypedArray())
+        .thenEach(blocked.take(MAX_LOGGED_PARTS)) { state, part ->
+            state.step(blockedLog(state, part, next.parts.getValue(part)))
         }
+        .then { if (blocked.isEmpty()) it.step() else it.step(countBlocked(blocked.size)) }
 }
 
-private fun logSuspicion(
-    state: GatewayState,
-    part: PromptPartId,
-    before: PartEvidence?,
-    evidence: PartEvidence?
-): Step<GatewayState> {
-    val until = evidence?.takeIf { it.isSuspect }?.blockedUntil
-    val untilBefore = before?.takeIf { it.isSuspect }?.blockedUntil
-    return when {
-        until == untilBefore -> state.step()
+/** Until when requests with a part are refused, or null if they are not. */
+private fun blockOf(evidence: PartEvidence?): Moment? =
+    evidence?.takeIf { it.isSuspect }?.blockedUntil
 
-        until == null -> state.step(logEffect(LogEvent.PROMPT_PART_CLEARED, "part" to part))
+private fun clearedLog(part: PromptPartId): Effect =
+    logEffect(LogEvent.PROMPT_PART_CLEARED, "part" to part)
 
-        else -> state.step(
-            logEffect(
-                LogEvent.PROMPT_PART_BLOCKED,
-                "part" to part,
-                "losses" to evidence.losses.size,
-                "episodes" to evidence.episodes,
-                "organisations" to evidence.losses.distinctBy { it.organisation }.size,
-                "first_loss_ago" to (state.common.now - evidence.losses.first().lostAt),
-                "blocked_for" to (until - state.common.now),
-                "explained" to isExplainedByOthers(state.crashes, part, evidence, listOf(part))
-            ),
-            RuntimeEffect.Count(Metric.PROMPT_PARTS_BLOCKED, MetricLabels())
-        )
-    }
-}
+private fun blockedLog(state: GatewayState, part: PromptPartId, evidence: PartEvidence): Effect =
+    logEffect(
+        LogEvent.PROMPT_PART_BLOCKED,
+        "part" to part,
+        "losses" to evidence.losses.size,
+        "episodes" to evidence.episodes,
+        "organisations" to evidence.losses.distinctBy { it.organisation }.size,
+        "first_loss_ago" to (state.common.now - evidence.losses.first().lostAt),
+        "blocked_for" to (evidence.blockedUntil - state.common.now),
+        "explained" to isExplainedBy(startsOfOthers(state.crashes, setOf(part)), evidence)
+    )
+
+private fun countBlocked(parts: Int): Effect =
+    RuntimeEffect.Count(Metric.PROMPT_PARTS_BLOCKED, MetricLabels(), by = parts.toLong())
+
+/** The last parts, which are the least widely shared ones. */
+private fun listOfParts(parts: List<PromptPartId>): String =
+    parts.takeLast(MAX_LOGGED_PARTS).joinToString(" ")
 
 private fun startOf(attempt: Attempt) =
     EndpointStart(stableHash("${attempt.endpoint} ${attempt.startStamp}").toInt())
@@ -121,5 +126,8 @@
 internal fun digestOf(organisation: OrganisationId?) =
     OrganisationDigest(stableHash(organisation?.value.orEmpty()).toInt())
 
+/** More parts at one time are only counted, so that the log stays short. */
+private const val MAX_LOGGED_PARTS = 32
+
 /** Time in which a first event may reach the caller although its endpoint is crashing. */
 private val ANSWER_BEGINNING: Duration = 100.milliseconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -193,7 +193,7 @@
             .mapValues { it.value.ownLoad() },
         members = exchange.members
             .filterValues { now - it.lastReportAt < MEMBER_LISTING_TIME }.keys.toList(),
-        crashes = state.crashes.reportAt(now)
+        crashes = state.crashes.reportAt(now, next.sequence)
     )
     return state.copy(exchange = next)
         .step(ExchangeEffect.SendReport(targets.toList(), report))
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
@@ -157,7 +157,7 @@
     private fun GatewayHarness.feedSuspicions(vararg startsOfParts: Pair<Long, IntRange>) {
         val suspicions = startsOfParts.map { (part, starts) ->
             ReportedSuspicion(
-                PromptPartId(part),
+                listOf(PromptPartId(part)),
                 othersServed = 9,
                 starts.map { start ->
                     val ago = (500 - 50 * start).milliseconds
@@ -390,15 +390,59 @@
             harness.serve(shared)
         }
         repeat(50) { round ->
-            val flood = LongArray(16) { 1000L + round * 16 + it }
+            val flood = LongArray(300) { 1000L + round * 300 + it }
             harness.crash(*flood, organisation = "b")
         }
-        assertTrue(harness.state.crashes.parts.size <= 256)
+        assertTrue(harness.state.crashes.parts.size <= MAX_ENTRIES)
         harness.crash(shared, crashing)
         assertFalse(harness.serve(shared, crashing))
         val report = harness.state.crashes.reportAt(harness.now)
         assertTrue(report.suspicions.size <= 8 && report.clearances.size <= 8)
-        assertTrue(report.suspicions.any { it.part.value == crashing })
+        assertTrue(report.suspicions.any { PromptPartId(crashing) in it.parts })
+    }
+
+    /** Only the first parts of a prompt were looked at, and a later one crashed endpoints on. */
+    @Test
+    fun `a crashing part is found wherever it stands among many`() {
+        val others = LongArray(400) { 1000L + it }
+        for (place in listOf(0, 16, 200, 400)) {
+            val harness = engines()
+            val prompt = (others.take(place) + crashing + others.drop(place)).toLongArray()
+            var ended = 0
+            repeat(10) {
+                ended += harness.crash(*prompt)
+                harness.serve(*others)
+                harness.serve(shared)
+            }
+            assertTrue(ended in 3..5, "place $place: $ended endpoints ended")
+            assertTrue(harness.serve(*others), "place $place")
+        }
+    }
+
+    /** A report that names the same few parts each time says nothing of the others. */
+    @Test
+    fun `parts that do not fit into one report are in the next ones`() {
+        val harness = engines()
+        val prompt = LongArray(400) { 1000L + it }
+        harness.crash(*prompt)
+        val reported = (0L until 25).flatMap { turn ->
+            harness.state.crashes.reportAt(harness.now, turn).suspicions.flatMap { it.parts }
+        }
+        assertTrue(reported.toSet().containsAll(prompt.map { PromptPartId(it) }))
+    }
+
+    @Test
+    fun `what another gateway reports of many parts counts in full`() {
+        val harness = engines()
+        val parts = (1000L until 1040).map { PromptPartId(it) }
+        val losses = (1..6).map {
+            ReportedLoss(EndpointStart(it), OrganisationDigest(1), 300.milliseconds, 1.seconds / it)
+        }
+        val suspicions = parts.map { ReportedSuspicion(listOf(it), othersServed = 0, losses) }
+        val event = reportFrom("10.0.0.2")
+        harness.feed(event.copy(report = event.report.copy(crashes = CrashReport(suspicions))))
+        assertEquals(parts.toSet(), harness.state.crashes.parts.keys)
+        assertTrue(harness.state.crashes.parts.values.all { it.losses.size == 6 })
     }
 
     @Test
@@ -482,8 +526,8 @@
         harness.advance(60.milliseconds)
         harness.endAttempt(id, lost)
         val reports = harness.effects.filterIsInstance<ExchangeEffect.SendReport>()
-        val reported = reports.single().report.crashes.suspicions.map { it.part.value }
-        assertTrue(crashing in reported)
+        val reported = reports.single().report.crashes.suspicions.flatMap { it.parts }
+        assertTrue(PromptPartId(crashing) in reported)
         assertTrue(harness.effects.any { it is ForwardEffect.Send })
     }
 }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PartEvidenceTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PartEvidenceTest.kt
@@ -85,7 +85,7 @@
     @Test
     fun `a late report of a loss from before a complete answer does not count`() {
         val cleared = CrashEvidence().withReport(
-            CrashReport(clearances = listOf(ReportedClearance(part, Duration.ZERO))),
+            CrashReport(clearances = listOf(ReportedClearance(listOf(part), Duration.ZERO))),
             Moment.START + 200.milliseconds
         )
         val heard = cleared.withReport(reportOfLoss(), Moment.START + 640.milliseconds)
@@ -97,6 +97,6 @@
 
     private fun reportOfLoss(): CrashReport {
         val loss = ReportedLoss(EndpointStart(1), organisation, 40.milliseconds, Duration.ZERO)
-        return CrashReport(listOf(ReportedSuspicion(part, othersServed = 0, listOf(loss))))
+        return CrashReport(listOf(ReportedSuspicion(listOf(part), othersServed = 0, listOf(loss))))
     }
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -222,7 +222,7 @@
             )
         }
         val line = RequestLine(message.method().name(), message.uri())
-        val head = traffic.codec.readHead(line) { message.headers()[it] }
+        val head = traffic.codec.readHead(line) { message.headers().getAll(it) }
         receiving = ReceivedRequest(line, head, message.headers(), traffic.bodyMemory)
         setTimeout((head.timeout ?: limits.idleTimeout).coerceAtMost(MAX_BODY_TIME)) {
             refuseAndClose(ErrorKind.REQUEST_INCOMPLETE, "body")
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -141,7 +141,7 @@
     private fun readHead(current: EndpointAttempt, response: HttpResponse) {
         informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (informational) return
-        val head = codec.readResponse(response.status().code()) { response.headers()[it] }
+        val head = codec.readResponse(response.status().code()) { response.headers().getAll(it) }
         discarding = !belongsTo(current, response, head)
         if (discarding && !passedOver) {
             connections.inputDropped(this, UnexpectedInput.OTHER_RESPONSE)
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardCodec.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardCodec.kt
@@ -8,8 +8,14 @@
 import org.gypsumroute.api.ForwardTarget
 import org.gypsumroute.api.RequestHead
 
+/** Returns the values of all header fields with a name, in order. */
+typealias HeaderLookup = (String) -> List<String>
+
 /** Returns the first value of the header with a name, or null if it is absent. */
-typealias HeaderLookup = (String) -> String?
+fun HeaderLookup.first(name: String): String? = this(name).firstOrNull()
+
+/** Returns the elements of a header that is a list, which may be spread over several fields. */
+fun HeaderLookup.elements(name: String): List<String> = this(name).flatMap { it.split(',') }
 
 /** Header codec of one platform. */
 class ForwardCodec(
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -201,11 +201,11 @@
 internal val testCodec = ForwardCodec(
     readHead = { line, header ->
         RequestHead(
-            callerRequestId = header("X-Id").orEmpty(),
-            hostName = header("Host").orEmpty(),
+            callerRequestId = header.first("X-Id").orEmpty(),
+            hostName = header.first("Host").orEmpty(),
             path = line.target.substringBefore('?'),
-            keyDigest = header("X-Key"),
-            timeout = header("X-Deadline")?.toLong()?.milliseconds,
+            keyDigest = header.first("X-Key"),
+            timeout = header.first("X-Deadline")?.toLong()?.milliseconds,
             promptTokens = null,
             outputLimit = null,
             expectedOutput = null
@@ -220,9 +220,9 @@
     withheldHeaders = setOf("x-key", "x-deadline"),
     readResponse = { status, header ->
         ResponseHead(
-            callerRequestId = header("X-Id"),
-            signed = header("X-Signature") != null,
-            notRun = header("X-Not-Run") != null,
+            callerRequestId = header.first("X-Id"),
+            signed = header.first("X-Signature") != null,
+            notRun = header.first("X-Not-Run") != null,
             misdirected = status == 421,
             faultyAddress = null
         )
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -52,11 +52,18 @@
     members = report.members.map { it.toString() },
     ready = report.ready,
     suspicions = report.crashes.suspicions.map(::recordOf),
-    clearances = report.crashes.clearances.map { ClearanceRecord(it.part.value, ageOf(it.ago)) }
+    clearances = report.crashes.clearances.map(::recordOf)
+)
+
+private fun recordOf(clearance: ReportedClearance) = ClearanceRecord(
+    part = clearance.parts.first().value,
+    ago = ageOf(clearance.ago),
+    furtherParts = clearance.parts.drop(1).map { it.value }
 )
 
 private fun recordOf(suspicion: ReportedSuspicion) = SuspicionRecord(
-    part = suspicion.part.value,
+    part = suspicion.parts.first().value,
+    furtherParts = suspicion.parts.drop(1).map { it.value },
     othersServed = suspicion.othersServed,
     losses = suspicion.losses.map { loss ->
         LossRecord(
@@ -98,12 +105,17 @@
     members = record.members.map(::addressOf),
     crashes = CrashReport(
         record.suspicions.map(::suspicionOf),
-        record.clearances.map { ReportedClearance(PromptPartId(it.part), durationOf(it.ago)) }
+        record.clearances.map {
+            ReportedClearance(partsOf(it.part, it.furtherParts), durationOf(it.ago))
+        }
     )
 )
 
+private fun partsOf(first: Long, further: List<Long>): List<PromptPartId> =
+    (listOf(first) + further).map { PromptPartId(it) }
+
 private fun suspicionOf(record: SuspicionRecord) = ReportedSuspicion(
-    part = PromptPartId(record.part),
+    parts = partsOf(record.part, record.furtherParts),
     othersServed = record.othersServed,
     losses = record.losses.map {
         ReportedLoss(
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
@@ -25,12 +25,13 @@
     @CborLabel(label = 10) val clearances: List<ClearanceRecord> = emptyList()
 )
 
-/** Losses of endpoints under one part of prompts. */
+/** Losses of endpoints under each of some parts of prompts: [part] and [furtherParts]. */
 @Serializable
 internal class SuspicionRecord(
     @CborLabel(label = 1) val part: Long,
     @CborLabel(label = 2) val othersServed: Int = 0,
-    @CborLabel(label = 3) val losses: List<LossRecord> = emptyList()
+    @CborLabel(label = 3) val losses: List<LossRecord> = emptyList(),
+    @CborLabel(label = 4) val furtherParts: List<Long> = emptyList()
 )
 
 /** Ages are in milliseconds. */
@@ -42,11 +43,12 @@
     @CborLabel(label = 4) val lostAgo: Int
 )
 
-/** Age in milliseconds of a complete answer to a prompt with the part. */
+/** Age in milliseconds of a complete answer to a prompt with [part] and [furtherParts]. */
 @Serializable
 internal class ClearanceRecord(
     @CborLabel(label = 1) val part: Long,
-    @CborLabel(label = 2) val ago: Int
+    @CborLabel(label = 2) val ago: Int,
+    @CborLabel(label = 3) val furtherParts: List<Long> = emptyList()
 )
 
 /** Load of one endpoint. Times are in milliseconds, [delayCostPerSecond] in hundredths. */
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
@@ -55,10 +55,12 @@
         crashes = crashReport(nextInt(0, 4))
     )
 
+    private fun Random.parts() = List(nextInt(1, 4)) { PromptPartId(nextLong()) }
+
     private fun Random.crashReport(parts: Int) = CrashReport(
         suspicions = List(parts) {
             ReportedSuspicion(
-                PromptPartId(nextLong()),
+                parts(),
                 nextInt(0, 9),
                 List(nextInt(0, 6)) {
                     ReportedLoss(
@@ -70,7 +72,7 @@
                 }
             )
         },
-        clearances = List(parts) { ReportedClearance(PromptPartId(nextLong()), duration()) }
+        clearances = List(parts) { ReportedClearance(parts(), duration()) }
     )
 
     @Test
@@ -156,6 +158,7 @@
     @Test
     fun `the largest report of crashes fits one unfragmented datagram by itself`() {
         val random = Random(3)
+        fun parts(count: Int) = List(count) { PromptPartId(random.nextLong()) }
         val losses = List(4) {
             ReportedLoss(
                 EndpointStart(Int.MIN_VALUE),
@@ -165,8 +168,8 @@
             )
         }
         val crashes = CrashReport(
-            List(8) { ReportedSuspicion(PromptPartId(random.nextLong()), 2, losses) },
-            List(8) { ReportedClearance(PromptPartId(random.nextLong()), 1.days) }
+            List(8) { ReportedSuspicion(parts(3), 2, losses) },
+            List(8) { ReportedClearance(parts(2), 1.days) }
         )
         val report = random.report().copy(loads = emptyMap(), crashes = crashes)
         val bytes = encodeReport(report).size
