Let one loss count against a part after a series of restarts

The gateways refused a part of prompts that crashes endpoints.

Cause: the evidence lives in the processes and their reports only, and a gateway that just started judges by thresholds that suppose it knows what was before: three lost endpoints, and requests that are repeated at once.

Fix: nothing may be kept, but the endpoints' records name their starts. Reports have an age.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/EndpointRecord.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/EndpointRecord.kt
@@ -5,7 +5,7 @@
 /**
  * One endpoint as it published itself.
  *
- * [startStamp] differs between starts of an endpoint that keeps its [id]; it is null if the record
+ * [startedAt] differs between starts of an endpoint that keeps its [id]; it is null if the record
  * has none. [coldRemaining] is how long the endpoint stays cold from the time when the record was
  * read. [slots] is the number of requests that it runs at a time.
  */
@@ -17,5 +17,5 @@
     val slots: Int,
     val leaving: Boolean,
     val coldRemaining: Duration,
-    val startStamp: Long?
+    val startedAt: UnixTime?
 )
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
@@ -1,5 +1,7 @@
 package org.gypsumroute.api
 
+import kotlin.time.Duration
+
 /**
  * Report of a gateway to the others: its identity, the published records that it holds, and its own
  * work at endpoints.
@@ -8,7 +10,8 @@
  * so a lost report is not repeated. [revision] is that of the records it holds, and
  * [storeReachable] tells whether its last read of the store succeeded. [members] are the gateways
  * that it hears from. [ready] tells whether the load balancer may send it new connections.
- * [crashes] is what it knows of prompts under which endpoints ended.
+ * [crashes] is what it knows of prompts under which endpoints ended. [age] is the time since it
+ * started.
  */
 data class GatewayReport(
     val host: HostId,
@@ -19,5 +22,6 @@
     val ready: Boolean,
     val loads: Map<EndpointId, EngineLoad>,
     val members: List<EndpointAddress>,
-    val crashes: CrashReport = CrashReport()
+    val crashes: CrashReport = CrashReport(),
+    val age: Duration = Duration.ZERO
 )
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
@@ -61,6 +61,12 @@
         "a part of a prompt was answered and is allowed again"
     ),
     INPUT_DROPPED(4016, LogLevel.WARN, "an endpoint sent bytes that belong to no open request"),
+    CAUTION_STARTED(
+        4017,
+        LogLevel.INFO,
+        "endpoints restarted one after the other; a single loss counts against a part of a prompt"
+    ),
+    CAUTION_ENDED(4018, LogLevel.INFO, "another gateway remembers the time before; caution ends"),
     LEASE_EXPIRED(5001, LogLevel.WARN, "lease expired; its work is cancelled"),
     ORPHAN_STREAM(5002, LogLevel.WARN, "engine holds a stream without a lease; cancelling it"),
     ORPHAN_HANDLE(5003, LogLevel.WARN, "engine holds a cache handle without a lease; releasing it"),
--- /dev/null
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/UnixTime.kt
@@ -0,0 +1,5 @@
+package org.gypsumroute.api
+
+/** A time of day in milliseconds since 1970. Clocks of hosts differ, and may jump by seconds. */
+@JvmInline
+value class UnixTime(val milliseconds: Long)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -7,6 +7,7 @@
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ServiceId
+import org.gypsumroute.api.UnixTime
 import org.gypsumroute.core.gateway.CrashEvidence
 import org.gypsumroute.core.gateway.EndpointState
 import org.gypsumroute.core.gateway.ExchangeState
@@ -19,7 +20,7 @@
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
  * endpoints of the published records.
  *
- * A planned stop began at [drainStartedAt], accepts new requests until [acceptsUntil] and ends open
+ * The process started at [startedAt]. A planned stop began at [drainStartedAt], accepts new requests until [acceptsUntil] and ends open
  * requests at [drainEndsAt]; all are null without one. [refusingNew] tells whether requests that
  * wait for memory were refused as well.
  */
@@ -28,6 +29,7 @@
     val bounds: GatewayBounds,
     val policies: GatewayPolicies,
     val exchange: ExchangeState,
+    val startedAt: UnixTime,
     val published: PublishedState = PublishedState(),
     val endpoints: PersistentMap<EndpointId, EndpointState> = persistentMapOf(),
     val requests: PersistentMap<RequestId, ForwardRecord> = persistentMapOf(),
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -129,7 +129,8 @@
     return safeToRunAgain && answerAllowsRetry && endsBeforeStop(state, record) &&
         record.sendCount < record.route.maxAttempts &&
         record.deadline - state.common.now > MIN_ATTEMPT_TIME &&
-        retryBudgetAllows(state, record) && findBlockedPart(state, record) == null
+        retryBudgetAllows(state, record) && findBlockedPart(state, record) == null &&
+        !hasUnprovenPart(state, record)
 }
 
 /** Whether the retry budget of the service lets the request be sent again. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/BlockedParts.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/BlockedParts.kt
@@ -15,6 +15,7 @@
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.OrganisationId
 import org.gypsumroute.api.PromptPartId
+import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.rendezvousWeightOfHashes
@@ -72,14 +73,14 @@
     return affected.size > 1 || digestOf(organisation) in affected
 }
 
-/** The starts of endpoints that were lost under suspect parts other than [requested] ones. */
+/** The starts of endpoints that were lost under established parts other than [requested] ones. */
 internal fun startsOfOthers(
     crashes: CrashEvidence,
     requested: Set<PromptPartId>
 ): Set<EndpointStart> {
     val starts = HashSet<EndpointStart>()
     for ((part, evidence) in crashes.parts) {
-        if (part !in requested && evidence.isSuspect) starts += evidence.starts
+        if (part !in requested && evidence.isEstablished) starts += evidence.starts
     }
     return starts
 }
@@ -87,11 +88,24 @@
 /**
  * Whether the losses of other parts, at the starts [explained], account for those of a part. For
  * example, a first part that many prompts begin with is lost at each endpoint that one of them
- * crashes. A single loss that only the part has makes no difference, since the report of it on the
- * other part may not have arrived yet.
+ * crashes. Of several losses, a single one that only the part has makes no difference, since the
+ * report of it on the other part may not have arrived yet.
  */
-internal fun isExplainedBy(explained: Set<EndpointStart>, evidence: PartEvidence): Boolean =
-    evidence.starts.count { it !in explained } <= UNREPORTED_LOSSES
+internal fun isExplainedBy(explained: Set<EndpointStart>, evidence: PartEvidence): Boolean {
+    val unexplained = evidence.starts.count { it !in explained }
+    return unexplained <= if (evidence.isEstablished) UNREPORTED_LOSSES else 0
+}
+
+/** Whether a part of the request was lost, and nothing tells yet that it is sound. */
+internal fun hasUnprovenPart(state: GatewayState, record: ForwardRecord): Boolean =
+    state.crashes.caution != null &&
+        record.head.promptParts.any { state.crashes.parts[it]?.unproven == true }
+
+/** The parts of prompts of which this gateway has a request open, other than [except]. */
+internal fun openParts(state: GatewayState, except: RequestId? = null): Set<PromptPartId> =
+    state.requests.values
+        .filter { it.request != except && it.openAttempts.isNotEmpty() }
+        .flatMapTo(HashSet()) { it.head.promptParts }
 
 /** The time until the request may try the part again, or null if it may do so now. */
 private fun waitFor(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
@@ -23,25 +23,38 @@
 /**
  * [parts] holds what speaks against parts, and [clearances] when parts were found in complete
  * answers although there was evidence. [ownLosses] counts the losses that this gateway saw itself.
+ * [caution] is set for some time if the gateway started after a series of restarts of endpoints.
  */
 data class CrashEvidence(
     val parts: PersistentMap<PromptPartId, PartEvidence> = persistentMapOf(),
     val clearances: PersistentMap<PromptPartId, Clearance> = persistentMapOf(),
-    val ownLosses: Long = 0
+    val ownLosses: Long = 0,
+    val caution: CrashCaution? = null
 ) {
     val isEmpty: Boolean get() = parts.isEmpty() && clearances.isEmpty()
 
-    /** Adds a loss that this gateway saw under these parts. */
-    fun withOwnLoss(lost: List<PromptPartId>, loss: EndpointLoss): CrashEvidence =
-        if (lost.isEmpty()) {
-            this
-        } else {
-            copy(ownLosses = ownLosses + 1).withLosses(lost, listOf(loss))
-        }
+    /**
+     * Adds a loss that this gateway saw under these parts. Those of [openElsewhere] are being tried
+     * at other endpoints, which will tell more about them.
+     */
+    fun withOwnLoss(
+        lost: List<PromptPartId>,
+        loss: EndpointLoss,
+        openElsewhere: Set<PromptPartId> = emptySet()
+    ): CrashEvidence = if (lost.isEmpty()) {
+        this
+    } else {
+        copy(ownLosses = ownLosses + 1).withLosses(lost, listOf(loss))
+            .withUnproven(lost, openElsewhere)
+    }
 
     /** Clears the parts of a request that was served; it also shows that others can be served. */
     fun withServed(served: Collection<PromptPartId>, now: Moment): CrashEvidence {
-        if (parts.isEmpty()) return this
+        val proven = copy(caution = caution?.withServed(served))
+        return if (parts.isEmpty()) proven else proven.withoutRefuted(served, now)
+    }
+
+    private fun withoutRefuted(served: Collection<PromptPartId>, now: Moment): CrashEvidence {
         val cleared = served.filter { it in parts }.fold(this) { next, part ->
             next.withClearance(part, Clearance(now, parts.getValue(part).losses.size, own = true))
         }.bounded()
@@ -56,15 +69,23 @@
         return cleared.copy(parts = left.build())
     }
 
-    /** Adds what another gateway reported. */
-    fun withReport(report: CrashReport, now: Moment): CrashEvidence {
+    /**
+     * Adds what another gateway reported. Parts of [open] are being tried by this gateway, which
+     * will tell more about them.
+     */
+    fun withReport(
+        report: CrashReport,
+        now: Moment,
+        open: Set<PromptPartId> = emptySet()
+    ): CrashEvidence {
         if (report == CrashReport()) return this
         val cleared = report.clearances.fold(this) { next, reported ->
             val clearance = Clearance(now + -reported.ago, refuted = 0, own = false)
             reported.parts.fold(next) { current, part -> current.withClearance(part, clearance) }
+                .copy(caution = next.caution?.withProven(reported.parts))
         }
         return report.suspicions.fold(cleared) { next, reported ->
-            next.withSuspicion(reported, now)
+            next.withSuspicion(reported, now).withUnproven(reported.parts, open)
         }.bounded()
     }
 
@@ -101,7 +122,11 @@
 
     /** Forgets what is too old. */
     fun withoutExpired(now: Moment): CrashEvidence {
-        if (isEmpty) return this
+        val current = copy(caution = caution?.takeIf { now < it.until })
+        return if (isEmpty) current else current.withoutExpiredParts(now)
+    }
+
+    private fun withoutExpiredParts(now: Moment): CrashEvidence {
         val keptParts = parts.builder()
         for ((part, evidence) in parts) {
             if (now - evidence.losses.last().lostAt > LOSS_RETENTION) keptParts.remove(part)
@@ -129,6 +154,23 @@
         return copy(parts = changed.build()).bounded()
     }
 
+    /** Marks those of [lost] as unproven of which nothing tells that they are sound. */
+    private fun withUnproven(
+        lost: Collection<PromptPartId>,
+        openElsewhere: Set<PromptPartId>
+    ): CrashEvidence {
+        val caution = caution ?: return this
+        val changed = parts.builder()
+        for (part in lost) {
+            val evidence = parts[part]
+            val hasProof = part in caution.provenParts || part in openElsewhere
+            if (evidence == null || evidence.unproven || hasProof) continue
+            val othersServed = maxOf(evidence.othersServed, caution.promptsServed)
+            changed[part] = evidence.copy(unproven = true, othersServed = othersServed)
+        }
+        return copy(parts = changed.build())
+    }
+
     private fun withClearance(part: PromptPartId, clearance: Clearance): CrashEvidence {
         val known = clearances[part]
         if (known != null && known.at >= clearance.at) return this
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
@@ -6,6 +6,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.CrashReport
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.EndpointStart
@@ -48,7 +49,7 @@
         "request" to record.head.callerRequestId,
         "attempt" to record.sendCount,
         "endpoint" to attempt.endpoint,
-        "start" to attempt.startStamp,
+        "start" to attempt.startedAt?.milliseconds,
         "organisation" to record.organisation,
         "parts" to listOfParts(record.head.promptParts),
         "parts_in_all" to record.head.promptParts.size,
@@ -60,7 +61,12 @@
         if (answering) {
             it.step()
         } else {
-            it.withEvidence(it.crashes.withOwnLoss(record.head.promptParts, loss))
+            val open = if (it.crashes.caution == null) {
+                emptySet()
+            } else {
+                openParts(it, except = record.request)
+            }
+            it.withEvidence(it.crashes.withOwnLoss(record.head.promptParts, loss, open))
         }
     }
 }
@@ -73,9 +79,33 @@
         state.withEvidence(state.crashes.withServed(record.head.promptParts, state.common.now))
     }
 
+/** Begins with caution if the endpoints that were read first restarted one after the other. */
+internal fun beginCautiously(state: GatewayState): Step<GatewayState> {
+    val caution =
+        cautionAfterRestarts(state.endpoints.values, state.startedAt, state.common.now)
+            ?: return state.step()
+    return state.copy(crashes = state.crashes.copy(caution = caution)).step(
+        logEffect(LogEvent.CAUTION_STARTED, "until" to (caution.until - state.common.now))
+    )
+}
+
+/** Ends the caution if another gateway is so much older that it knows what happened before. */
+internal fun endCautionBeside(state: GatewayState, age: Duration): Step<GatewayState> {
+    val isOlder = age - (state.common.now - Moment.START) > OLDER_GATEWAY
+    if (state.crashes.caution == null || !isOlder) return state.step()
+    return state.copy(crashes = state.crashes.copy(caution = null))
+        .step(logEffect(LogEvent.CAUTION_ENDED, "member_age" to age))
+}
+
 /** Takes over what another gateway reported. */
 internal fun reduceCrashReport(state: GatewayState, report: CrashReport): Step<GatewayState> =
-    state.withEvidence(state.crashes.withReport(report, state.common.now))
+    state.withEvidence(
+        state.crashes.withReport(
+            report,
+            state.common.now,
+            if (state.crashes.caution == null) emptySet() else openParts(state)
+        )
+    )
 
 /** Replaces the evidence, and logs and counts the parts of which the suspicion changed. */
 private fun GatewayState.withEvidence(next: CrashEvidence): Step<GatewayState> {
@@ -107,6 +137,7 @@
         "part" to part,
         "losses" to evidence.losses.size,
         "episodes" to evidence.episodes,
+        "unproven" to evidence.unproven,
         "organisations" to evidence.losses.distinctBy { it.organisation }.size,
         "first_loss_ago" to (state.common.now - evidence.losses.first().lostAt),
         "blocked_for" to (evidence.blockedUntil - state.common.now),
@@ -121,11 +152,14 @@
     parts.takeLast(MAX_LOGGED_PARTS).joinToString(" ")
 
 private fun startOf(attempt: Attempt) =
-    EndpointStart(stableHash("${attempt.endpoint} ${attempt.startStamp}").toInt())
+    EndpointStart(stableHash("${attempt.endpoint} ${attempt.startedAt?.milliseconds}").toInt())
 
 internal fun digestOf(organisation: OrganisationId?) =
     OrganisationDigest(stableHash(organisation?.value.orEmpty()).toInt())
 
+/** Gateways that are killed together start again within this time. */
+private val OLDER_GATEWAY: Duration = 10.seconds
+
 /** More parts at one time are only counted, so that the log stays short. */
 private const val MAX_LOGGED_PARTS = 32
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -71,7 +71,8 @@
         exchange = next,
         endpoints = withReportedWork(state, previousLoads, report.loads)
     )
-    val informed = reduceCrashReport(changed, report.crashes)
+    val informed = endCautionBeside(changed, report.age)
+        .then { reduceCrashReport(it, report.crashes) }
     return if (previous != null) {
         informed.then { readFromPeerIfNewer(it) }
     } else {
@@ -193,7 +194,8 @@
             .mapValues { it.value.ownLoad() },
         members = exchange.members
             .filterValues { now - it.lastReportAt < MEMBER_LISTING_TIME }.keys.toList(),
-        crashes = state.crashes.reportAt(now, next.sequence)
+        crashes = state.crashes.reportAt(now, next.sequence),
+        age = now - Moment.START
     )
     return state.copy(exchange = next)
         .step(ExchangeEffect.SendReport(targets.toList(), report))
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
@@ -16,6 +16,7 @@
 import org.gypsumroute.api.Route
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.UnixTime
 
 /**
  * One open request of a caller.
@@ -77,7 +78,7 @@
 )
 
 /**
- * An attempt at [endpoint], sent at [sentAt] to the start of it that [startStamp] names. [helpers]
+ * An attempt at [endpoint], sent at [sentAt] to the start of it that [startedAt] names. [helpers]
  * read parts of the prompt.
  */
 data class Attempt(
@@ -85,5 +86,5 @@
     val endpoint: EndpointId,
     val helpers: List<EndpointId>,
     val sentAt: Moment,
-    val startStamp: Long?
+    val startedAt: UnixTime?
 )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PartEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PartEvidence.kt
@@ -32,9 +32,15 @@
 /**
  * The losses under one part since it was last in a complete answer: at most one for each start of
  * an endpoint, in the order of their times. [othersServed] counts requests without the part that
- * were served since the first of them, up to [ENOUGH_OTHERS_SERVED].
+ * were served since the first of them, up to [ENOUGH_OTHERS_SERVED]. A part is [unproven] if it was
+ * lost while the gateway was cautious, and in no complete answer since the gateway started; a
+ * single loss is then enough.
  */
-data class PartEvidence(val losses: List<EndpointLoss>, val othersServed: Int = 0) {
+data class PartEvidence(
+    val losses: List<EndpointLoss>,
+    val othersServed: Int = 0,
+    val unproven: Boolean = false
+) {
     /** The starts of endpoints that were lost. */
     val starts: Set<EndpointStart> get() = losses.mapTo(HashSet()) { it.start }
 
@@ -57,14 +63,22 @@
     /** How many losses came one after the other; losses at one time count as one. */
     val episodes: Int get() = successiveLosses.size
 
-    val isSuspect: Boolean
+    /** Whether the losses are more than chance brings about under a sound part. */
+    val isEstablished: Boolean
         get() = losses.size >= MIN_LOSSES && othersServed >= ENOUGH_OTHERS_SERVED &&
             episodes >= MIN_EPISODES
 
-    /** Requests with the part are refused until then; each further episode prolongs the time. */
+    val isSuspect: Boolean
+        get() = isEstablished || (unproven && othersServed >= ENOUGH_OTHERS_SERVED)
+
+    /**
+     * Requests with the part are refused until then; each further episode prolongs the time. The
+     * block of an unproven part begins with a longer time, since it may have had losses before.
+     */
     val blockedUntil: Moment
         get() {
-            val further = (episodes - EPISODES_OF_FIRST_BLOCK).coerceAtLeast(0)
+            val expected = if (unproven) 0 else EPISODES_OF_FIRST_BLOCK
+            val further = (episodes - expected).coerceAtLeast(0)
             val block = FIRST_BLOCK * BLOCK_GROWTH.pow(further)
             return losses.last().lostAt + block.coerceAtMost(MAX_BLOCK)
         }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -115,6 +115,7 @@
     event: PublishedEvent.SnapshotRead
 ): Step<GatewayState> = removeUnlisted(state, event.records)
     .then { applyChanges(it, event.revision, event.records) }
+    .then { if (state.published.revision == Revision.NONE) beginCautiously(it) else it.step() }
     .then {
         it.step(
             logEffect(
@@ -204,7 +205,7 @@
 
 private fun putEndpoint(state: GatewayState, record: EndpointRecord): Step<GatewayState> {
     val previous = state.endpoints[record.id]
-    val restarted = previous != null && previous.record.startStamp != record.startStamp
+    val restarted = previous != null && previous.record.startedAt != record.startedAt
     val coldUntil = state.common.now + record.coldRemaining
     val next = if (previous == null || restarted) {
         EndpointState(record, coldUntil)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -121,7 +121,7 @@
         choice.endpoint,
         choice.helpers,
         sentAt = now,
-        startStamp = endpoint.record.startStamp
+        startedAt = endpoint.record.startedAt
     )
     val sent = record.copy(
         attempt = attempt,
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -48,6 +48,7 @@
 import org.gypsumroute.api.TableVersion
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.UnixTime
 import org.gypsumroute.api.WeightedService
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.GatewayState
@@ -63,6 +64,7 @@
  */
 internal class GatewayHarness(
     bounds: GatewayBounds = sampleBounds,
+    startedAt: UnixTime = UnixTime(0),
     placement: ForwardPlacement = ForwardPlacements.leastPredictedLoss,
     private val reducer: (NodeState, Event) -> Step<NodeState> = ::reduce
 ) {
@@ -80,7 +82,8 @@
         ),
         bounds = bounds,
         policies = GatewayPolicies(placement),
-        exchange = ExchangeState(EndpointAddress("10.0.0.1", 7000), emptyList())
+        exchange = ExchangeState(EndpointAddress("10.0.0.1", 7000), emptyList()),
+        startedAt = startedAt
     )
         private set
     var now: Moment = Moment.START
@@ -273,7 +276,7 @@
     slots = if (service == modelService) 11 else 6,
     leaving = leaving,
     coldRemaining = coldRemaining,
-    startStamp = startStamp
+    startedAt = UnixTime(startStamp)
 )
 
 internal fun headOf(
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/CrashSimulation.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/CrashSimulation.kt
@@ -39,6 +39,7 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.api.UnixTime
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.NodeIdentity
@@ -202,7 +203,8 @@
                 seeds = emptyList(),
                 members = (0 until scenario.gateways).filter { it != index }
                     .associate { addressOf(it) to firstReports[it] }.toPersistentMap()
-            )
+            ),
+            startedAt = UnixTime(0)
         )
 
         fun start() {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/GatewaySimulation.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/GatewaySimulation.kt
@@ -39,6 +39,7 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.UnixTime
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.NodeIdentity
@@ -133,7 +134,7 @@
         slots = deployment.profile.slots,
         leaving = false,
         coldRemaining = Duration.ZERO,
-        startStamp = 1
+        startedAt = UnixTime(1)
     )
 
     private fun routes(): List<Route> = kinds.map { kind ->
@@ -265,7 +266,8 @@
             ),
             bounds = sampleBounds,
             policies = GatewayPolicies(placement),
-            exchange = ExchangeState(address, listOf(EndpointAddress("10.0.0.0", 7000)))
+            exchange = ExchangeState(address, listOf(EndpointAddress("10.0.0.0", 7000))),
+            startedAt = UnixTime(0)
         )
 
         fun start() {
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress
 import java.security.SecureRandom
 import java.util.concurrent.Executors
+import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -21,6 +22,7 @@
 import org.gypsumroute.api.NodeRole
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.SettingsEvent
+import org.gypsumroute.api.UnixTime
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.NodeIdentity
@@ -94,7 +96,8 @@
             ),
             bounds = settings.bounds,
             policies = GatewayPolicies(ForwardPlacements.leastPredictedLoss),
-            exchange = ExchangeState(settings.exchangeAddress, settings.seeds)
+            exchange = ExchangeState(settings.exchangeAddress, settings.seeds),
+            startedAt = UnixTime(Clock.System.now().toEpochMilliseconds())
         ),
         handlers = EffectHandlers(
             setReady = { ready = it },
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
@@ -43,6 +43,7 @@
 import org.gypsumroute.api.ServiceRule
 import org.gypsumroute.api.TableVersion
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.api.UnixTime
 import org.gypsumroute.api.WeightedService
 import org.gypsumroute.core.CommonState
 import org.gypsumroute.core.GatewayState
@@ -128,7 +129,8 @@
         ),
         GatewayBounds(0.2, 10.seconds, 100.0, 2.seconds, 3.seconds, 8.seconds),
         GatewayPolicies(ForwardPlacements.leastPredictedLoss),
-        ExchangeState(EndpointAddress("10.0.0.1", 7000), emptyList())
+        ExchangeState(EndpointAddress("10.0.0.1", 7000), emptyList()),
+        UnixTime(0)
     )
 ).apply {
     feed(RuntimeEvent.Started)
@@ -145,7 +147,7 @@
     slots = 16,
     leaving = false,
     coldRemaining = Duration.ZERO,
-    startStamp = 1
+    startedAt = UnixTime(1)
 )
 
 private fun sampleReport(engines: Int, sequence: Long) = GatewayReport(
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -52,7 +52,8 @@
     members = report.members.map { it.toString() },
     ready = report.ready,
     suspicions = report.crashes.suspicions.map(::recordOf),
-    clearances = report.crashes.clearances.map(::recordOf)
+    clearances = report.crashes.clearances.map(::recordOf),
+    age = ageOf(report.age)
 )
 
 private fun recordOf(clearance: ReportedClearance) = ClearanceRecord(
@@ -108,7 +109,8 @@
         record.clearances.map {
             ReportedClearance(partsOf(it.part, it.furtherParts), durationOf(it.ago))
         }
-    )
+    ),
+    age = durationOf(record.age)
 )
 
 private fun partsOf(first: Long, further: List<Long>): List<PromptPartId> =
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 
+/** [age] is the time in milliseconds since the reporting process started. */
 @Serializable
 internal class ReportRecord(
     @CborLabel(label = 1) val host: String,
@@ -22,7 +23,8 @@
     @CborLabel(label = 7) val members: List<String> = emptyList(),
     @CborLabel(label = 8) val ready: Boolean = false,
     @CborLabel(label = 9) val suspicions: List<SuspicionRecord> = emptyList(),
-    @CborLabel(label = 10) val clearances: List<ClearanceRecord> = emptyList()
+    @CborLabel(label = 10) val clearances: List<ClearanceRecord> = emptyList(),
+    @CborLabel(label = 11) val age: Int = 0
 )
 
 /** Losses of endpoints under each of some parts of prompts: [part] and [furtherParts]. */
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
@@ -52,7 +52,8 @@
         ready = nextBoolean(),
         loads = List(nextInt(0, 5)) { EndpointId("e$it") to load() }.toMap(),
         members = List(nextInt(0, 5)) { EndpointAddress("10.0.0.$it", nextInt(1, 65_536)) },
-        crashes = crashReport(nextInt(0, 4))
+        crashes = crashReport(nextInt(0, 4)),
+        age = duration()
     )
 
     private fun Random.parts() = List(nextInt(1, 4)) { PromptPartId(nextLong()) }
