Do not take a head joined from two answers for an answer

Cause: an endpoint that answers twice may break the second answer off, and write it when the next request was sent already. Its beginning then becomes a part of the head of the next answer: the status is that of the one, the id and the signature are those of the other.

Evidence: TornAnswerTest with the second answer just before the next one failed in three of four tests before the change (a 500 became Completed(200) at 13 bytes, a refusal NotRun at 44).

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/UnexpectedInput.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/UnexpectedInput.kt
@@ -6,5 +6,8 @@
     WITHOUT_REQUEST("without_request"),
 
     /** A response that is not provably the one to the open request, and is passed over. */
-    OTHER_RESPONSE("other_response")
+    OTHER_RESPONSE("other_response"),
+
+    /** A response whose head was joined from two responses. */
+    JOINED_RESPONSES("joined_responses")
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -139,6 +139,11 @@
     }
 
     private fun readHead(current: EndpointAttempt, response: HttpResponse) {
+        if (isJoined(response)) {
+            connections.inputDropped(this, UnexpectedInput.JOINED_RESPONSES)
+            fail(current, "joined from two answers")
+            return
+        }
         informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         if (informational) return
         val head = codec.readResponse(response.status().code()) { response.headers().getAll(it) }
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TornAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TornAnswerTest.kt
@@ -26,7 +26,7 @@
     fun close() = fixture.close()
 
     /** When the beginning of the second answer arrives at the gateway. */
-    private enum class Arrival { WITH_FIRST_ANSWER, WHILE_IDLE }
+    private enum class Arrival { WITH_FIRST_ANSWER, WHILE_IDLE, BEFORE_NEXT_ANSWER }
 
     /**
      * An endpoint that writes [torn] after its answer to request 1 and answers request 2 with
@@ -47,6 +47,7 @@
                 closed.countDown()
                 return@endpoint
             }
+            if (arrival == Arrival.BEFORE_NEXT_ANSWER) it.write(torn)
         }
         it.write(next)
         it.close()
@@ -110,10 +111,20 @@
         }
     }
 
+    /** The bytes arrive when the next request was sent already, so only the head itself tells. */
+    @Test
+    fun `a head that holds the status line of another answer is no answer`() {
+        val torn = "HTTP/1.1 200 OK\r\nX-Note: a"
+        val outcome = serveTwo(torn, Arrival.BEFORE_NEXT_ANSWER, responseTo("2", "x", "500 Oops"))
+        assertIs<AttemptOutcome.Lost>(outcome.outcome)
+        val dropped = fixture.droppedInput.poll(5, TimeUnit.SECONDS)
+        assertEquals(UnexpectedInput.JOINED_RESPONSES, dropped?.input)
+    }
+
     /** Bytes that belong to no request must not wait for the next one. */
     @Test
     fun `a request after a broken-off answer uses a new connection`() {
-        for (arrival in Arrival.entries) {
+        for (arrival in listOf(Arrival.WITH_FIRST_ANSWER, Arrival.WHILE_IDLE)) {
             for (torn in beginningsOf(refusalOf("1"))) {
                 val second = serveTwo(torn, arrival, responseTo("2"))
                 assertIs<AttemptOutcome.Completed>(second.outcome, "$arrival, $torn")
