Limit the memory of all answers that are kept together

Here each answer and event has a limit of 1 MiB, but 200 of them at a time ended a gateway with the memory of the deployment file.

Cause: a bound on each answer and none on their sum. Beside it, the search for the end of an event went over the whole incomplete event with each read.

Fix: the answers that are kept share a budget of an eighth of the heap; the largest is passed on if it may be, or given up. Where unread answers of all callers are many, reading pauses earlier for each. An event's end is looked for in new bytes only.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -85,6 +85,11 @@
     /** Called with the load that the endpoint states with its response. */
     fun loadStated(load: StatedLoad) = traffic.loadStated(target.endpoint, load)
 
+    /** Called when the response has to be given up although it goes on. */
+    fun responseRejected() {
+        connection?.rejectResponse()
+    }
+
     /** Called with each part of a response that is not a stream of events. */
     fun bytesReceived(count: Int) {
         bytesSinceTimeout += count
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -185,13 +185,18 @@
         } finally {
             content.release()
         }
-        current.responseReader?.rejection?.let { cause ->
-            fail(current, cause)
-            return
-        }
+        if (rejectResponse()) return
         if (content is LastHttpContent && failure == null) finish(current)
     }
 
+    /** Gives up the attempt if its response is rejected; returns whether it is. */
+    fun rejectResponse(): Boolean {
+        val current = attempt ?: return true
+        val cause = current.responseReader?.rejection ?: return false
+        fail(current, cause)
+        return true
+    }
+
     private fun finishDiscarded(current: EndpointAttempt) {
         informational = false
         if (discarding && !keepsOpen) fail(current, "an answer to another request")
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
@@ -23,6 +23,9 @@
     /** Number of bytes of the incomplete event that is buffered. */
     val bufferedBytes: Int get() = pending.readableBytes()
 
+    /** Memory that the buffer takes. */
+    val capacityBytes: Int get() = pending.capacity()
+
     /** Whether bytes of an incomplete event are buffered. Blank lines alone are no event. */
     val hasPartialEvent: Boolean get() = pending.forEachByte(BLANK_LINES) >= 0
 
@@ -31,8 +34,9 @@
      * caller has to release the returned buffer.
      */
     fun add(bytes: ByteBuf): ByteBuf? {
+        val firstNew = pending.writerIndex()
         pending.writeBytes(bytes)
-        val end = endOfLastEvent()
+        val end = endOfLastEvent(firstNew)
         if (end < 0) return null
         val complete = pending.readRetainedSlice(end - pending.readerIndex())
         recordIds(complete)
@@ -52,10 +56,13 @@
         pending = Unpooled.EMPTY_BUFFER
     }
 
-    /** Returns the index after the last blank line, which ends an event, or -1. */
-    private fun endOfLastEvent(): Int {
+    /**
+     * Returns the index after the last blank line, which ends an event, or -1. Only a blank line
+     * that ends at [firstNew] or later can be there, since earlier ones were found before.
+     */
+    private fun endOfLastEvent(firstNew: Int): Int {
         var index = pending.writerIndex() - 1
-        while (index > pending.readerIndex()) {
+        while (index > pending.readerIndex() && index >= firstNew) {
             if (pending.getByte(index) == LINE_FEED && endsBlankLine(index)) return index + 1
             index--
         }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
@@ -47,6 +47,13 @@
     /** Memory budget of the bodies of all requests that are being received or served. */
     val bodyMemory = BodyMemoryBudget(MAX_BODY_MEMORY_BYTES)
 
+    /** Memory budget of the answers that are kept until they are complete. */
+    val answerMemory = AnswerMemoryBudget(MAX_ANSWER_MEMORY_BYTES)
+
+    /** Whether the answers that callers have not read yet take too much memory together. */
+    val callersAreSlow: Boolean
+        get() = callers.sumOf { it.unsentBytes } > MAX_TOTAL_UNSENT_BYTES
+
     /** Limits on callers' requests. */
     @Volatile
     var limits = DEFAULT_LIMITS
@@ -272,6 +279,10 @@
         /** A quarter of the heap (128 MB) that the deployment file gives the process. */
         const val MAX_BODY_MEMORY_BYTES = 32L * 1024 * 1024
 
+        /** An eighth of the heap; buffers take up to twice as much while they grow. */
+        const val MAX_ANSWER_MEMORY_BYTES = 16L * 1024 * 1024
+        const val MAX_TOTAL_UNSENT_BYTES = 16L * 1024 * 1024
+
         /** Limits until the first routing table has been read. */
         val DEFAULT_LIMITS = CallerLimits(16 * 1024, 4 * 1024 * 1024, 3.seconds, 15.seconds)
     }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
@@ -38,8 +38,9 @@
     private val success = status.codeClass() == HttpStatusClass.SUCCESS && head.signed &&
         (!resumesAnswer || continuesStream())
     private val eventSplitter = if (success && isStream) EventSplitter() else null
-    private val bufferedBody: ByteBuf = Unpooled.buffer(0)
+    private var bufferedBody: ByteBuf = Unpooled.buffer(0)
     private var relaying = false
+    private var lacksMemory = false
     private var repeatsEvents = false
     private var lastForwardedAt: TimeMark? = null
     private var longestPause = Duration.ZERO
@@ -66,11 +67,27 @@
                 if (bufferedBody.readableBytes() > MAX_BUFFERED_BYTES && success) startRelay()
             }
         }
+        val held = eventSplitter?.capacityBytes ?: bufferedBody.capacity()
+        traffic.answerMemory.update(this, held)
+    }
+
+    /**
+     * Frees the buffers, because all answers together take too much memory: passes on what may be
+     * passed on, unless callers already read too slowly, and gives up the attempt otherwise.
+     */
+    fun freeMemory() {
+        if (success && eventSplitter == null && !traffic.callersAreSlow) {
+            startRelay()
+        } else {
+            lacksMemory = true
+            attempt.responseRejected()
+        }
     }
 
     /** Why the attempt has to end although the response goes on, or null. */
     val rejection: String?
         get() = when {
+            lacksMemory -> "no memory for more of the answer"
             repeatsEvents -> "events that the caller has"
             isOversized -> "an answer or event without end"
             else -> null
@@ -88,7 +105,10 @@
      * Called after each read from the endpoint's connection.
      */
     fun flush() {
-        if (exchange.caller.unsentBytes > MAX_UNSENT_BYTES) attempt.connection?.pauseReading()
+        val unsent = exchange.caller.unsentBytes
+        val isSlow = unsent > MAX_UNSENT_BYTES ||
+            (unsent > MIN_UNSENT_BYTES && traffic.callersAreSlow)
+        if (isSlow) attempt.connection?.pauseReading()
     }
 
     /** Finishes the response after its last byte and returns the outcome of the attempt. */
@@ -119,6 +139,7 @@
 
     /** Releases the buffers. */
     fun release() {
+        traffic.answerMemory.remove(this)
         eventSplitter?.release()
         bufferedBody.release()
     }
@@ -188,7 +209,8 @@
         relaying = true
         deliveryStarted = true
         startResponse()
-        exchange.caller.sendPart(bufferedBody.retainedSlice())
+        exchange.caller.sendPart(bufferedBody)
+        bufferedBody = Unpooled.EMPTY_BUFFER
         traffic.streamStarted(attempt)
     }
 
@@ -230,6 +252,9 @@
         /** Unsent bytes to the caller above which reading from the endpoint pauses. */
         const val MAX_UNSENT_BYTES = 512L * 1024
 
+        /** The same while the unsent bytes to all callers are many. */
+        const val MIN_UNSENT_BYTES = 64L * 1024
+
         /**
          * Statuses that tell a caller that its request did not run. They must not reach the caller
          * unless the endpoint itself states that.
