Count an end inside the head of an answer as a lost connection

An endpoint that crashes while it writes the head of an answer was taken for one that does not speak HTTP. Callers saw nothing wrong by it (no cut answer is ever passed on as complete), but the loss was missing among the evidence against prompts that crash endpoints as they begin to answer.

Cause: the decoder reports the end of a connection inside a head as a malformed message before the connection is reported as closed.

Evidence: CutAnswerTest, which ends answers of five kinds at each byte by a close and by a reset, failed in all four tests before the change, at the end of the status line (connectionLost=false).

Fix: a malformed message whose cause is the end of the connection is a lost connection.

Measured: CutAnswerTest, ConnectionLostTest and UnframedAnswerTest pass.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
@@ -115,7 +116,9 @@
         }
         if (message.decoderResult().isFailure) {
             ReferenceCountUtil.release(message)
-            fail(current, "not an HTTP answer")
+            // The decoder reports the end of a connection inside a head as a malformed message.
+            val ended = message.decoderResult().cause() is PrematureChannelClosureException
+            fail(current, if (ended) "connection closed" else "not an HTTP answer", ended)
             return
         }
         if (message is HttpResponse) readHead(current, message)
