Send nothing new to endpoints that state in an answer that they leave

Until now only the published record counted, so that with the store away, cut off or late, requests went on to it.

Change: the mark is decoded once at the edge, from any answer to a request or an order, also a refusal, a failure, the head of a stream and an answer that is passed over, but not from one to a misdirected request. It becomes one kind of statement, beside the load that endpoints state. The reducer keeps it for the start of the endpoint and not for its address: no request, repeat, resumed stream, part of a prompt or reservation goes there; what runs is finished. A lapsed record that comes back, a full read or time do not end it, a newer start does.

--- /dev/null
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/EndpointStatement.kt
@@ -0,0 +1,13 @@
+package org.gypsumroute.api
+
+/** What an endpoint states of itself in the head of an answer, beside the answer. */
+sealed interface EndpointStatement {
+    /** Its load. */
+    data class Load(val report: EndpointLoadReport) : EndpointStatement
+
+    /** It leaves: it finishes what runs and wants nothing new. */
+    data object Leaving : EndpointStatement
+
+    /** A statement that cannot be read. */
+    data class Unusable(val kind: StatementKind) : EndpointStatement
+}
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardEvent.kt
@@ -15,8 +15,12 @@
     /** The first event of a stream was relayed to the caller. */
     data class StreamBegun(val request: RequestId, val attempt: AttemptId) : ForwardEvent
 
-    /** An endpoint stated its load in an answer; [load] is null if the statement is malformed. */
-    data class LoadStated(val endpoint: EndpointId, val load: EndpointLoadReport?) : ForwardEvent
+    /** The start [startedAt] of an endpoint stated something of itself in an answer. */
+    data class EndpointStated(
+        val endpoint: EndpointId,
+        val startedAt: UnixTime?,
+        val statement: EndpointStatement
+    ) : ForwardEvent
 
     /** An endpoint at [address] sent bytes that the gateway drops. */
     data class InputDropped(val address: EndpointAddress, val input: UnexpectedInput) : ForwardEvent
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardTarget.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ForwardTarget.kt
@@ -5,6 +5,7 @@
 /**
  * The endpoint that an attempt is sent to, and what is sent along.
  *
+ * [startedAt] names the start of the endpoint that is meant, or is null if that is not known.
  * [remaining] is the time to the request's deadline when the effect was issued; the endpoint stops
  * its work then. An engine admits work in the order of [priority], 0 first; it is null for requests
  * that are not streamed. [helpers] prefill parts of the prompt. The attempt counts as
@@ -14,6 +15,7 @@
 data class ForwardTarget(
     val endpoint: EndpointId,
     val address: EndpointAddress,
+    val startedAt: UnixTime?,
     val organisation: OrganisationId?,
     val remaining: Duration,
     val priority: Int?,
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
@@ -11,7 +11,7 @@
  * [storeReachable] tells whether its last read of the store succeeded. [members] are the gateways
  * that it hears from. [ready] tells whether the load balancer may send it new connections.
  * [crashes] is what it knows of prompts under which endpoints ended. [age] is the time since it
- * started.
+ * started. [leaving] are endpoints that stated to it that they leave.
  */
 data class GatewayReport(
     val host: HostId,
@@ -23,5 +23,6 @@
     val loads: Map<EndpointId, EngineLoad>,
     val members: List<EndpointAddress>,
     val crashes: CrashReport = CrashReport(),
-    val age: Duration = Duration.ZERO
+    val age: Duration = Duration.ZERO,
+    val leaving: List<ReportedLeaving> = emptyList()
 )
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
@@ -21,6 +21,14 @@
         "gypsumroute_loads_rejected_total",
         "Loads stated by endpoints that could not be used"
     ),
+    STATEMENTS(
+        "gypsumroute_statements_total",
+        "Statements of endpoints in answers that changed what a gateway believes, by outcome"
+    ),
+    STATEMENTS_REJECTED(
+        "gypsumroute_statements_rejected_total",
+        "Statements of endpoints in answers that could not be used, by outcome"
+    ),
     INPUT_DROPPED(
         "gypsumroute_input_dropped_total",
         "Times at which endpoints sent bytes that belong to no open request, by outcome"
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ReservationEffect.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ReservationEffect.kt
@@ -2,7 +2,10 @@
 
 import kotlin.time.Duration
 
-/** Orders about reserved memory of engines. Each is answered by one `ReservationEvent`. */
+/**
+ * Orders about reserved memory of engines. Each is answered by one `ReservationEvent`. `startedAt`
+ * names the start of the engine that is meant, as in [ForwardTarget].
+ */
 sealed interface ReservationEffect : Effect {
     /**
      * Reserves memory for [tokens] at an engine for the time [hold]. If the reservation exists
@@ -13,6 +16,7 @@
         val reservation: ReservationId,
         val endpoint: EndpointId,
         val address: EndpointAddress,
+        val startedAt: UnixTime?,
         val tokens: Tokens,
         val hold: Duration
     ) : ReservationEffect
@@ -21,6 +25,7 @@
     data class Release(
         val reservation: ReservationId,
         val endpoint: EndpointId,
-        val address: EndpointAddress
+        val address: EndpointAddress,
+        val startedAt: UnixTime?
     ) : ReservationEffect
 }
--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
@@ -20,6 +20,7 @@
 import okhttp3.ConnectionSpec
 import okhttp3.Dispatcher
 import okhttp3.EventListener
+import okhttp3.Headers
 import okhttp3.HttpUrl
 import okhttp3.Interceptor
 import okhttp3.MediaType
@@ -32,8 +33,12 @@
 import okio.BufferedSink
 
 /** A response with its complete body. */
-class HttpResponse(val status: Int, val contentType: String?, val body: ByteArray) {
+class HttpResponse(val status: Int, val body: ByteArray, private val headers: Headers) {
     val text: String get() = body.decodeToString()
+    val contentType: String? get() = header("Content-Type")
+
+    /** The value of a header, the last one if there are several, or null if it is absent. */
+    fun header(name: String): String? = headers[name]
 }
 
 /** Tag of a call that records whether writing of its request has started. */
@@ -167,7 +172,7 @@
     if (body.size > limit) {
         ClientFailure.Malformed("answer over $limit bytes").left()
     } else {
-        HttpResponse(response.code, response.header("Content-Type"), body.readByteArray()).right()
+        HttpResponse(response.code, body.readByteArray(), response.headers).right()
     }
 } catch (failure: IOException) {
     ClientFailure.Broken(describe(failure)).left()
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -13,6 +13,7 @@
 import org.gypsumroute.core.gateway.ExchangeState
 import org.gypsumroute.core.gateway.ForwardRecord
 import org.gypsumroute.core.gateway.GatewayPolicies
+import org.gypsumroute.core.gateway.LeavingMark
 import org.gypsumroute.core.gateway.PublishedState
 import org.gypsumroute.core.gateway.RetryBudget
 
@@ -20,7 +21,7 @@
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
  * endpoints of the published records.
  *
- * The process started at [startedAt]. A planned stop began at [drainStartedAt], accepts new requests until [acceptsUntil] and ends open
+ * The process started at [startedAt]. [leaving] are the endpoints that stated that they leave. A planned stop began at [drainStartedAt], accepts new requests until [acceptsUntil] and ends open
  * requests at [drainEndsAt]; all are null without one. [refusingNew] tells whether requests that
  * wait for memory were refused as well.
  */
@@ -35,6 +36,7 @@
     val requests: PersistentMap<RequestId, ForwardRecord> = persistentMapOf(),
     val retryBudgets: PersistentMap<ServiceId, RetryBudget> = persistentMapOf(),
     val crashes: CrashEvidence = CrashEvidence(),
+    val leaving: PersistentMap<EndpointId, LeavingMark> = persistentMapOf(),
     val nextAttempt: Long = 1,
     val drainStartedAt: Moment? = null,
     val acceptsUntil: Moment? = null,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
@@ -241,7 +241,7 @@
 ): List<PromptPartId> = windowOf(group, room / groups.coerceAtMost(MAX_REPORTED), turn)
 
 /** At most [count] of [items], others for each [turn], so that all have their turn. */
-private fun <T> windowOf(items: List<T>, count: Int, turn: Long): List<T> {
+internal fun <T> windowOf(items: List<T>, count: Int, turn: Long): List<T> {
     if (items.size <= count) return items
     val begin = Math.floorMod(turn * count, items.size.toLong()).toInt()
     return List(count) { items[(begin + it) % items.size] }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/Eligibility.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/Eligibility.kt
@@ -15,13 +15,13 @@
 
 /**
  * Whether the endpoint serves the request's service and is meant to get new requests, according to
- * its own record and to the data centres that operators took out.
+ * its own record and answers and to the data centres that operators took out.
  */
 private fun acceptsNewRequests(
     state: GatewayState,
     record: ForwardRecord,
     endpoint: EndpointState
-): Boolean = endpoint.record.service == record.service && !endpoint.record.leaving &&
+): Boolean = endpoint.record.service == record.service && !isLeaving(state, endpoint) &&
     !endpoint.misdirected && endpoint.record.dataCentre !in state.published.dataCentresOut
 
 /** Whether an earlier choice is still valid: records may have changed since it was made. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -73,6 +73,7 @@
     )
     val informed = endCautionBeside(changed, report.age)
         .then { reduceCrashReport(it, report.crashes) }
+        .then { reduceReportedLeaving(it, "${report.host}", report.leaving) }
     return if (previous != null) {
         informed.then { readFromPeerIfNewer(it) }
     } else {
@@ -103,6 +104,7 @@
 internal fun reducePeriodicReport(state: GatewayState): Step<GatewayState> =
     removeSilentMembers(state)
         .then { it.copy(crashes = it.crashes.withoutExpired(it.common.now)).step() }
+        .then { withoutOldMarks(it).step() }
         .then { sendReport(it) }
         .then { it.step(RuntimeEffect.SetTimer(TimerId.ReportBeat, REPORT_INTERVAL)) }
 
@@ -117,7 +119,8 @@
 internal fun reportChangedLoads(before: GatewayState, state: GatewayState): Step<GatewayState> {
     val exchange = state.exchange
     val lost = before.crashes.ownLosses != state.crashes.ownLosses
-    val changed = lost || before.endpoints !== state.endpoints
+    val changed = lost || before.endpoints !== state.endpoints ||
+        before.leaving !== state.leaving
     val isAwaited = exchange.changeTimerSet && !lost
     if (!changed || exchange.members.isEmpty() || isAwaited) return state.step()
     val usualInterval = minReportInterval(exchange.members.size)
@@ -195,7 +198,8 @@
         members = exchange.members
             .filterValues { now - it.lastReportAt < MEMBER_LISTING_TIME }.keys.toList(),
         crashes = state.crashes.reportAt(now, next.sequence),
-        age = now - Moment.START
+        age = now - Moment.START,
+        leaving = leavingReport(state, next.sequence)
     )
     return state.copy(exchange = next)
         .step(ExchangeEffect.SendReport(targets.toList(), report))
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
@@ -69,10 +69,12 @@
 /**
  * Memory at [endpoint] for a part of a prompt; [confirmed] once the engine has set it aside. It is
  * released at [address] even if the endpoint's record was removed, since the engine may still run.
+ * [startedAt] names the start of the engine.
  */
 data class Reservation(
     val endpoint: EndpointId,
     val address: EndpointAddress,
+    val startedAt: UnixTime?,
     val tokens: Tokens,
     val confirmed: Boolean = false
 )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
@@ -34,7 +34,7 @@
 
         is ForwardEvent.StreamBegun -> reduceStreamBegun(state, event)
 
-        is ForwardEvent.LoadStated -> reduceLoadStated(state, event)
+        is ForwardEvent.EndpointStated -> reduceEndpointStated(state, event)
 
         is ForwardEvent.InputDropped -> state.step(
             logEffect(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -232,7 +232,7 @@
 private fun removeEndpoint(state: GatewayState, id: EndpointId): Step<GatewayState> {
     val endpoint = state.endpoints[id] ?: return state.step()
     val published = state.published
-    return if (state.common.now < published.lapsedRetainedUntil && !endpoint.record.leaving) {
+    return if (state.common.now < published.lapsedRetainedUntil && !isLeaving(state, endpoint)) {
         val lapsed = published.lapsedEndpoints.add(id)
         state.copy(published = published.copy(lapsedEndpoints = lapsed)).step()
     } else {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
@@ -45,8 +45,8 @@
     if (choice.reservations.isEmpty()) return send(state, record, choice)
     val reservations = choice.reservations.entries.withIndex().associate { (index, wanted) ->
         val id = ReservationId("${state.common.node.incarnation}-${state.nextAttempt}-$index")
-        val address = state.endpoints.getValue(wanted.key).record.address
-        id to Reservation(wanted.key, address, wanted.value)
+        val engine = state.endpoints.getValue(wanted.key).record
+        id to Reservation(wanted.key, engine.address, engine.startedAt, wanted.value)
     }
     val waiting = record.copy(
         pendingChoice = choice,
@@ -76,7 +76,12 @@
     Step(
         state,
         record.reservations.map { (id, reservation) ->
-            ReservationEffect.Release(id, reservation.endpoint, reservation.address)
+            ReservationEffect.Release(
+                id,
+                reservation.endpoint,
+                reservation.address,
+                reservation.startedAt
+            )
         }
     )
 
@@ -86,6 +91,7 @@
             id,
             reservation.endpoint,
             reservation.address,
+            reservation.startedAt,
             reservation.tokens,
             state.bounds.reservationHold
         )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -190,6 +190,7 @@
     return ForwardTarget(
         endpoint = endpoint.record.id,
         address = endpoint.record.address,
+        startedAt = endpoint.record.startedAt,
         organisation = record.organisation,
         remaining = remaining,
         priority = if (record.route.streaming) enginePriority(record) else null,
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
@@ -0,0 +1,129 @@
+/*
+ * What endpoints state of themselves in their answers, and what other gateways report of that.
+ *
+ * An endpoint that stated that it leaves gets nothing new, whatever its published record says, until
+ * a newer start of it is published. The mark belongs to that start and outlives the record, which
+ * may lapse and come back while the endpoint still runs.
+ */
+package org.gypsumroute.core.gateway
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EndpointStatement
+import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Metric
+import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.ReportedLeaving
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.StatementKind
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.UnixTime
+import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.step
+import org.gypsumroute.core.thenEach
+
+/**
+ * The start [startedAt] of an endpoint stated at [statedAt] that it leaves, to this gateway if
+ * [own], else to another one.
+ */
+data class LeavingMark(val startedAt: UnixTime?, val statedAt: Moment, val own: Boolean)
+
+internal fun reduceEndpointStated(
+    state: GatewayState,
+    event: ForwardEvent.EndpointStated
+): Step<GatewayState> = when (val statement = event.statement) {
+    is EndpointStatement.Load -> reduceLoadStated(state, event.endpoint, statement.report)
+
+    is EndpointStatement.Leaving -> {
+        val mark = LeavingMark(event.startedAt, state.common.now, own = true)
+        markLeaving(state, event.endpoint, mark, OWN_SOURCE)
+    }
+
+    is EndpointStatement.Unusable -> state.step(countUnusable(statement.kind))
+}
+
+/** Takes over what another gateway heard. */
+internal fun reduceReportedLeaving(
+    state: GatewayState,
+    source: String,
+    reported: List<ReportedLeaving>
+): Step<GatewayState> = state.step().thenEach(reported) { next, leaving ->
+    val statedAt = next.common.now + -leaving.ago
+    val mark = LeavingMark(leaving.startedAt, statedAt, own = false)
+    markLeaving(next, leaving.endpoint, mark, source)
+}
+
+/** What this gateway heard itself of endpoints that are still published. */
+internal fun leavingReport(state: GatewayState, turn: Long): List<ReportedLeaving> {
+    val own = state.leaving.entries
+        .filter { (id, mark) ->
+            mark.own &&
+                state.endpoints[id]?.let { isLeaving(state, it) } == true
+        }
+        .map { (id, mark) ->
+            ReportedLeaving(id, mark.startedAt, state.common.now - mark.statedAt)
+        }
+    return windowOf(own, MAX_REPORTED_LEAVING, turn)
+}
+
+/** Whether the endpoint leaves, by its record or by what it stated in an answer. */
+internal fun isLeaving(state: GatewayState, endpoint: EndpointState): Boolean {
+    val record = endpoint.record
+    val mark = state.leaving[record.id]
+    return record.leaving || (mark != null && mark.startedAt == record.startedAt)
+}
+
+/** Forgets marks of endpoints whose records are gone for so long that they have ended. */
+internal fun withoutOldMarks(state: GatewayState): GatewayState {
+    val now = state.common.now
+    val old = state.leaving.filter { (id, mark) ->
+        id !in state.endpoints && now - mark.statedAt > MARK_RETENTION
+    }
+    if (old.isEmpty()) return state
+    val left = state.leaving.builder().apply { keys.removeAll(old.keys) }
+    return state.copy(leaving = left.build())
+}
+
+private fun markLeaving(
+    state: GatewayState,
+    id: EndpointId,
+    mark: LeavingMark,
+    source: String
+): Step<GatewayState> {
+    val known = state.leaving[id]
+    val isOlder = isBefore(mark.startedAt, known?.startedAt)
+    val isKnown = known != null && known.startedAt == mark.startedAt && (known.own || !mark.own)
+    if (isOlder || isKnown) return state.step()
+    return state.copy(leaving = state.leaving.put(id, mark)).step(
+        logEffect(
+            LogEvent.ENDPOINT_STATED_LEAVING,
+            "endpoint" to id,
+            "started_at" to mark.startedAt?.milliseconds,
+            "source" to source,
+            "age" to (state.common.now - mark.statedAt),
+            "published" to state.endpoints[id]?.record?.startedAt?.milliseconds
+        ),
+        countBelieved(if (mark.own) StatementKind.LEAVING.code else "leaving_reported")
+    )
+}
+
+private fun isBefore(start: UnixTime?, other: UnixTime?): Boolean =
+    start != null && other != null && start.milliseconds < other.milliseconds
+
+internal fun countBelieved(outcome: String) =
+    RuntimeEffect.Count(Metric.STATEMENTS, MetricLabels(outcome = outcome))
+
+private fun countUnusable(kind: StatementKind) = if (kind == StatementKind.LOAD) {
+    RuntimeEffect.Count(Metric.LOADS_REJECTED, MetricLabels())
+} else {
+    RuntimeEffect.Count(Metric.STATEMENTS_REJECTED, MetricLabels(outcome = kind.code))
+}
+
+/** Source of a belief that an endpoint stated to this gateway itself. */
+internal const val OWN_SOURCE = "answer"
+private const val MAX_REPORTED_LEAVING = 16
+private val MARK_RETENTION: Duration = 10.minutes
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StatedLoadReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StatedLoadReducerTest.kt
@@ -9,17 +9,23 @@
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.EndpointLoadReport
+import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.Metric
 import org.gypsumroute.api.MetricLabels
 import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.StatementKind
+import org.gypsumroute.api.UnixTime
 
 class StatedLoadReducerTest {
     private val endpoint = EndpointId("e1")
 
+    private fun statementOf(endpoint: EndpointId, statement: EndpointStatement) =
+        ForwardEvent.EndpointStated(endpoint, UnixTime(1), statement)
+
     private fun GatewayHarness.state(running: Int, waiting: Int) =
-        feed(ForwardEvent.LoadStated(endpoint, EndpointLoadReport(running, waiting, 6)))
+        feed(statementOf(endpoint, EndpointStatement.Load(EndpointLoadReport(running, waiting, 6))))
 
     private fun GatewayHarness.unseen() =
         state.endpoints.getValue(endpoint).unseenLoad.requestsAt(now)
@@ -57,11 +63,13 @@
         val harness = readyHarness(endpointOf("e1"))
         harness.state(running = 5, waiting = 0)
         val before = harness.state.endpoints
-        harness.feed(ForwardEvent.LoadStated(endpoint, null))
+        harness.feed(statementOf(endpoint, EndpointStatement.Unusable(StatementKind.LOAD)))
         assertEquals(before, harness.state.endpoints)
         val counted = RuntimeEffect.Count(Metric.LOADS_REJECTED, MetricLabels())
         assertEquals(listOf<Any>(counted), harness.effects)
-        harness.feed(ForwardEvent.LoadStated(EndpointId("gone"), EndpointLoadReport(1, 1, 1)))
+        harness.feed(
+            statementOf(EndpointId("gone"), EndpointStatement.Load(EndpointLoadReport(1, 1, 1)))
+        )
         assertEquals(before, harness.state.endpoints)
     }
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -22,6 +22,7 @@
 import kotlin.time.TimeMark
 import org.gypsumroute.api.AttemptId
 import org.gypsumroute.api.AttemptOutcome
+import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.ForwardTarget
 import org.gypsumroute.api.Repetition
 
@@ -82,8 +83,8 @@
         if (!target.streaming) restartTimeout()
     }
 
-    /** Called with the load that the endpoint states with its response. */
-    fun loadStated(load: StatedLoad) = traffic.loadStated(target.endpoint, load)
+    /** Called with what the endpoint states of itself with a response. */
+    fun endpointStated(statement: EndpointStatement) = traffic.endpointStated(target, statement)
 
     /** Called when the response has to be given up although it goes on. */
     fun responseRejected() {
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -24,6 +24,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.UnexpectedInput
 
 /** Reads responses for the attempt that currently uses the connection. */
@@ -157,11 +158,23 @@
         passedOver = passedOver || discarding
         keepsOpen = HttpUtil.isKeepAlive(response)
         keepAliveTime = keepAliveTimeOf(response)
+        passOnStatements(current, head)
         if (discarding) return
-        head.statedLoad?.let { current.loadStated(it) }
         current.responseStarted(response, head)
     }
 
+    /**
+     * Passes on what the endpoint states of itself. Of a response that is passed over only that it
+     * leaves counts, since the rest may be old. One to a request that was meant for another
+     * endpoint says nothing of that endpoint.
+     */
+    private fun passOnStatements(current: EndpointAttempt, head: ResponseHead) {
+        if (head.misdirected) return
+        head.statements
+            .filter { !discarding || it == EndpointStatement.Leaving }
+            .forEach { current.endpointStated(it) }
+    }
+
     /**
      * Whether the response provably answers the current request. On a kept connection, an endpoint
      * may write its answer to an earlier request once more, so only the id of the request proves
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
@@ -18,10 +18,11 @@
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.Bytes
 import org.gypsumroute.api.CallerLimits
-import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.Failure
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.ForwardTarget
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.runtime.EventSink
 
@@ -181,8 +182,8 @@
     fun streamStarted(attempt: EndpointAttempt) =
         emit(ForwardEvent.StreamBegun(attempt.exchange.request, attempt.id))
 
-    fun loadStated(endpoint: EndpointId, load: StatedLoad) =
-        emit(ForwardEvent.LoadStated(endpoint, load.report))
+    fun endpointStated(target: ForwardTarget, statement: EndpointStatement) =
+        emit(ForwardEvent.EndpointStated(target.endpoint, target.startedAt, statement))
 
     fun attemptStalled(attempt: EndpointAttempt) =
         emit(ForwardEvent.AttemptStalled(attempt.exchange.request, attempt.id))
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseHead.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseHead.kt
@@ -1,6 +1,7 @@
 package org.gypsumroute.gateway
 
 import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.EndpointStatement
 
 /**
  * The parts of a response head that decide what the gateway does with the response.
@@ -9,7 +10,7 @@
  * names none. [signed] is true if the endpoint marks the response as a complete one, [notRun] if it
  * states that it did not run the request, and [misdirected] if the request was meant for another
  * endpoint. [faultyAddress] is the address of the endpoint that caused a failure, if that is not
- * the responding one. [statedLoad] is null if the endpoint does not state its load.
+ * the responding one. [statements] are what the endpoint states of itself.
  */
 data class ResponseHead(
     val callerRequestId: String?,
@@ -17,5 +18,5 @@
     val notRun: Boolean,
     val misdirected: Boolean,
     val faultyAddress: EndpointAddress?,
-    val statedLoad: StatedLoad? = null
+    val statements: List<EndpointStatement> = emptyList()
 )
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -23,6 +23,7 @@
 import org.gypsumroute.api.CallerLimits
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.Event
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
@@ -30,6 +31,7 @@
 import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.RequestHead
 import org.gypsumroute.api.RequestId
+import org.gypsumroute.api.UnixTime
 
 /** Gateway traffic with short header names, which keep the tests readable. */
 internal class TrafficFixture : AutoCloseable {
@@ -94,6 +96,7 @@
                 ForwardTarget(
                     EndpointId(endpointId),
                     endpoint,
+                    ENDPOINT_START,
                     null,
                     remaining,
                     null,
@@ -127,6 +130,7 @@
 
     companion object {
         const val WAIT_SECONDS = 5L
+        val ENDPOINT_START = UnixTime(7)
     }
 }
 
@@ -224,7 +228,9 @@
             signed = header.first("X-Signature") != null,
             notRun = header.first("X-Not-Run") != null,
             misdirected = status == 421,
-            faultyAddress = null
+            faultyAddress = null,
+            statements =
+                listOfNotNull(header.first("X-Leaving")?.let { EndpointStatement.Leaving })
         )
     }
 )
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -21,9 +21,11 @@
 import org.gypsumroute.api.OrganisationDigest
 import org.gypsumroute.api.PromptPartId
 import org.gypsumroute.api.ReportedClearance
+import org.gypsumroute.api.ReportedLeaving
 import org.gypsumroute.api.ReportedLoss
 import org.gypsumroute.api.ReportedSuspicion
 import org.gypsumroute.api.Revision
+import org.gypsumroute.api.UnixTime
 
 /** Encodes a report as the payload of one datagram. */
 @OptIn(ExperimentalSerializationApi::class)
@@ -53,7 +55,10 @@
     ready = report.ready,
     suspicions = report.crashes.suspicions.map(::recordOf),
     clearances = report.crashes.clearances.map(::recordOf),
-    age = ageOf(report.age)
+    age = ageOf(report.age),
+    leaving = report.leaving.map {
+        LeavingRecord(it.endpoint.value, it.startedAt?.milliseconds, ageOf(it.ago))
+    }
 )
 
 private fun recordOf(clearance: ReportedClearance) = ClearanceRecord(
@@ -110,7 +115,14 @@
             ReportedClearance(partsOf(it.part, it.furtherParts), durationOf(it.ago))
         }
     ),
-    age = durationOf(record.age)
+    age = durationOf(record.age),
+    leaving = record.leaving.map {
+        ReportedLeaving(
+            EndpointId(it.endpoint),
+            it.startedAt?.let { start -> UnixTime(start) },
+            durationOf(it.ago)
+        )
+    }
 )
 
 private fun partsOf(first: Long, further: List<Long>): List<PromptPartId> =
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
@@ -24,7 +24,16 @@
     @CborLabel(label = 8) val ready: Boolean = false,
     @CborLabel(label = 9) val suspicions: List<SuspicionRecord> = emptyList(),
     @CborLabel(label = 10) val clearances: List<ClearanceRecord> = emptyList(),
-    @CborLabel(label = 11) val age: Int = 0
+    @CborLabel(label = 11) val age: Int = 0,
+    @CborLabel(label = 12) val leaving: List<LeavingRecord> = emptyList()
+)
+
+/** An endpoint that stated, [ago] milliseconds before, that its start at [startedAt] leaves. */
+@Serializable
+internal class LeavingRecord(
+    @CborLabel(label = 1) val endpoint: String,
+    @CborLabel(label = 2) val startedAt: Long? = null,
+    @CborLabel(label = 3) val ago: Int = 0
 )
 
 /** Losses of endpoints under each of some parts of prompts: [part] and [furtherParts]. */
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
@@ -20,9 +20,11 @@
 import org.gypsumroute.api.OrganisationDigest
 import org.gypsumroute.api.PromptPartId
 import org.gypsumroute.api.ReportedClearance
+import org.gypsumroute.api.ReportedLeaving
 import org.gypsumroute.api.ReportedLoss
 import org.gypsumroute.api.ReportedSuspicion
 import org.gypsumroute.api.Revision
+import org.gypsumroute.api.UnixTime
 
 class ReportCodecTest {
     private fun Random.duration() = nextLong(0, 1_000_000).milliseconds
@@ -53,7 +55,11 @@
         loads = List(nextInt(0, 5)) { EndpointId("e$it") to load() }.toMap(),
         members = List(nextInt(0, 5)) { EndpointAddress("10.0.0.$it", nextInt(1, 65_536)) },
         crashes = crashReport(nextInt(0, 4)),
-        age = duration()
+        age = duration(),
+        leaving = List(nextInt(0, 4)) {
+            val start = if (nextBoolean()) UnixTime(nextLong()) else null
+            ReportedLeaving(EndpointId("e$it"), start, duration())
+        }
     )
 
     private fun Random.parts() = List(nextInt(1, 4)) { PromptPartId(nextLong()) }
