Send nothing to an endpoint in the pause that it asks for

Until now the next request could go there at once.

After it the rate doubles each second from two a second on, for five seconds. If all endpoints of a service pause, callers are refused at once, with a Retry-After until the first end.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/EndpointStatement.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/EndpointStatement.kt
@@ -1,5 +1,7 @@
 package org.gypsumroute.api
 
+import kotlin.time.Duration
+
 /** What an endpoint states of itself in the head of an answer, beside the answer. */
 sealed interface EndpointStatement {
     /** Its load. */
@@ -8,6 +10,9 @@
     /** It leaves: it finishes what runs and wants nothing new. */
     data object Leaving : EndpointStatement
 
+    /** It turned a request away and wants nothing from this gateway for [time]. */
+    data class Pause(val time: Duration) : EndpointStatement
+
     /** A statement that cannot be read. */
     data class Unusable(val kind: StatementKind) : EndpointStatement
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -170,8 +170,18 @@
     var endpoints = state.endpoints
     endpoints[attempt.endpoint]?.let { endpoint ->
         val misdirected = outcome is AttemptOutcome.NotRun && outcome.misdirected
+        // An endpoint that asks for a pause is in order, also if its refusal promises nothing.
+        val asksForPause = isPaused(endpoint, now) && !outcome.connectionLost
         val updated = endpoint.copy(
-            health = healthAfter(endpoint.health, now, outcome),
+            health = if (asksForPause) {
+                endpoint.health
+            } else {
+                healthAfter(
+                    endpoint.health,
+                    now,
+                    outcome
+                )
+            },
             misdirected = endpoint.misdirected || (misdirected && faultyAddress == null)
         )
         endpoints = endpoints.put(attempt.endpoint, updated)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/Eligibility.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/Eligibility.kt
@@ -11,26 +11,32 @@
     record: ForwardRecord,
     endpoint: EndpointState
 ): Boolean = acceptsNewRequests(state, record, endpoint) &&
-    endpoint.record.id !in record.triedEndpoints && coldLimitAllows(state, endpoint)
+    endpoint.record.id !in record.triedEndpoints && coldLimitAllows(state, endpoint) &&
+    pauseAllows(endpoint, state.common.now)
 
 /**
  * Whether the endpoint serves the request's service and is meant to get new requests, according to
  * its own record and answers and to the data centres that operators took out.
  */
-private fun acceptsNewRequests(
+internal fun acceptsNewRequests(
     state: GatewayState,
     record: ForwardRecord,
     endpoint: EndpointState
 ): Boolean = endpoint.record.service == record.service && !isLeaving(state, endpoint) &&
     !endpoint.misdirected && endpoint.record.dataCentre !in state.published.dataCentresOut
 
-/** Whether an earlier choice is still valid: records may have changed since it was made. */
+/**
+ * Whether an earlier choice is still valid: records may have changed, or endpoints asked for a
+ * pause, since it was made.
+ */
 internal fun isStillValid(
     state: GatewayState,
     record: ForwardRecord,
     choice: ForwardChoice
 ): Boolean = (choice.helpers + choice.endpoint).all { id ->
-    state.endpoints[id]?.let { acceptsNewRequests(state, record, it) } == true
+    state.endpoints[id]?.let {
+        acceptsNewRequests(state, record, it) && !isPaused(it, state.common.now)
+    } == true
 }
 
 private fun coldLimitAllows(state: GatewayState, endpoint: EndpointState): Boolean {
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PauseReducer.kt
@@ -0,0 +1,73 @@
+/*
+ * Endpoints that turn a request away and ask this gateway for a pause.
+ *
+ * Nothing goes to such an endpoint until the pause is over, and after it requests come at a rate
+ * that grows, so that those that other endpoints took meanwhile do not all come back at once. A
+ * pause concerns this gateway only: the endpoint may still want the requests of others. It is no
+ * failure of the endpoint.
+ */
+package org.gypsumroute.core.gateway
+
+import kotlin.math.pow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.EndpointStatement
+import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Moment
+import org.gypsumroute.api.StatementKind
+import org.gypsumroute.api.Step
+import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.step
+
+internal fun reducePauseStated(
+    state: GatewayState,
+    event: ForwardEvent.EndpointStated,
+    pause: EndpointStatement.Pause
+): Step<GatewayState> {
+    val endpoint = state.endpoints[event.endpoint] ?: return state.step()
+    val until = state.common.now + pause.time
+    val isOfOtherStart = endpoint.record.startedAt != event.startedAt
+    if (isOfOtherStart || until <= endpoint.pausedUntil) return state.step()
+    val paused = endpoint.copy(pausedUntil = until)
+    return state.copy(endpoints = state.endpoints.put(event.endpoint, paused)).step(
+        logEffect(
+            LogEvent.ENDPOINT_PAUSES,
+            "endpoint" to event.endpoint,
+            "source" to OWN_SOURCE,
+            "for" to pause.time
+        ),
+        countBelieved(StatementKind.PAUSE.code)
+    )
+}
+
+/** Whether the endpoint wants nothing from this gateway now. */
+internal fun isPaused(endpoint: EndpointState, now: Moment): Boolean = now < endpoint.pausedUntil
+
+/** Whether one more request fits into the rate that grows after a pause. */
+internal fun pauseAllows(endpoint: EndpointState, now: Moment): Boolean {
+    if (isPaused(endpoint, now)) return false
+    val elapsed = now - endpoint.pausedUntil
+    if (endpoint.pausedUntil == Moment.START || elapsed >= GROWTH_TIME) return true
+    val rate = FIRST_REQUESTS_PER_SECOND * GROWTH.pow(elapsed / GROWTH_STEP)
+    return endpoint.recentSends.allows(now, rate)
+}
+
+/**
+ * The time until the first endpoint that could serve the request wants requests again, or null if
+ * one of them wants some now, or if there is none.
+ */
+internal fun timeUntilPauseEnds(state: GatewayState, record: ForwardRecord): Duration? {
+    val now = state.common.now
+    val serving = state.endpoints.values.filter { acceptsNewRequests(state, record, it) }
+    val firstEnd = serving.minOfOrNull { it.pausedUntil } ?: return null
+    return (firstEnd - now).takeIf { it > Duration.ZERO }
+}
+
+private const val FIRST_REQUESTS_PER_SECOND = 2.0
+private const val GROWTH = 2.0
+private val GROWTH_STEP: Duration = 1.seconds
+
+/** After it the rate is beyond what one gateway sends to one endpoint. */
+private val GROWTH_TIME: Duration = 5.seconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -73,7 +73,7 @@
     record: ForwardRecord,
     error: ErrorKind,
     detail: String,
-    retryAfter: Duration = retryAfter(state)
+    retryAfter: Duration = retryAfterOf(state, record)
 ): Step<GatewayState> {
     val promisesNotRun = error.runState == RunState.NOT_RUN
     val kind = if (record.mayHaveRun && promisesNotRun) ErrorKind.ENDPOINT_LOST else error
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryAfter.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryAfter.kt
@@ -22,6 +22,12 @@
     else -> timeUntilGatewayReturns(state)
 }
 
+/** The same for one request, which no endpoint may want for longer. */
+internal fun retryAfterOf(state: GatewayState, record: ForwardRecord): Duration {
+    val pause = if (refusesNew(state)) null else timeUntilPauseEnds(state, record)
+    return maxOf(retryAfter(state), pause ?: Duration.ZERO)
+}
+
 /** Whether another gateway is known to accept new requests. */
 internal fun otherGatewayReady(state: GatewayState): Boolean =
     recentPeerReports(state).any { it.ready }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
@@ -43,6 +43,8 @@
         markLeaving(state, event.endpoint, mark, OWN_SOURCE)
     }
 
+    is EndpointStatement.Pause -> reducePauseStated(state, event, statement)
+
     is EndpointStatement.Unusable -> state.step(countUnusable(statement.kind))
 }
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPropertyTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPropertyTest.kt
@@ -18,6 +18,7 @@
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.EndpointRecord
+import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
@@ -122,7 +123,7 @@
         verifyEffects(harness.feed(RuntimeEvent.DrainRequested))
     }
 
-    private fun randomEvent(): List<Effect> = when (random.nextInt(23)) {
+    private fun randomEvent(): List<Effect> = when (random.nextInt(24)) {
         in 0..6 -> arrive()
 
         in 7..10 -> endAttempt()
@@ -153,6 +154,8 @@
 
         21 -> takeOver()
 
+        22 -> stateSomething()
+
         else -> report()
     }
 
@@ -307,6 +310,18 @@
         return harness.readClock()
     }
 
+    private fun stateSomething(): List<Effect> {
+        val statement = if (random.nextInt(3) == 0) {
+            EndpointStatement.Leaving
+        } else {
+            EndpointStatement.Pause(random.nextInt(100, 5_000).milliseconds)
+        }
+        val endpoint = randomEndpoint()
+        return harness.feed(
+            ForwardEvent.EndpointStated(endpoint.id, endpoint.startedAt, statement)
+        )
+    }
+
     private fun report(): List<Effect> = harness.feed(
         reportFrom(
             "10.0.0.${random.nextInt(2, 5)}",
@@ -416,7 +431,8 @@
     private fun checkEndpoint(id: EndpointId) {
         val endpoint = harness.state.endpoints[id] ?: fail("seed $seed: sent to a removed endpoint")
         val record = endpoint.record
-        check(!record.leaving, "sent to a leaving endpoint")
+        check(!isLeaving(harness.state, endpoint), "sent to a leaving endpoint")
+        check(harness.now >= endpoint.pausedUntil, "sent to an endpoint that asked for a pause")
         check(
             record.dataCentre !in harness.state.published.dataCentresOut,
             "sent to a data centre taken out"
