Renew reservations also while new ones are made all the time

Answers to prompts that need the memory of several engines broke off (starved-renewal): engines drop memory that is not renewed within 3 s.

Cause: each new reservation restarted the only timer that renews them all, so that with more than one such prompt a second it never fired.

Evidence: the new test in ReservationReducerTest, with a prompt each 0.5 s, failed before the change: "not renewed for 3 s".

Fix: the timer is set only if it is not set already.

Measured: ReservationReducerTest, GatewayRecoveryTest and GatewayPropertyTest pass.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -21,7 +21,8 @@
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
  * endpoints of the published records.
  *
- * The process started at [startedAt]. [leaving] are the endpoints that stated that they leave. A planned stop began at [drainStartedAt], accepts new requests until [acceptsUntil] and ends open
+ * The process started at [startedAt]. [leaving] are the endpoints that stated that they leave.
+ * [renewalTimerSet] tells whether a timer is set for the renewal of reservations. A planned stop began at [drainStartedAt], accepts new requests until [acceptsUntil] and ends open
  * requests at [drainEndsAt]; all are null without one. [refusingNew] tells whether requests that
  * wait for memory were refused as well.
  */
@@ -38,6 +39,7 @@
     val crashes: CrashEvidence = CrashEvidence(),
     val leaving: PersistentMap<EndpointId, LeavingMark> = persistentMapOf(),
     val nextAttempt: Long = 1,
+    val renewalTimerSet: Boolean = false,
     val drainStartedAt: Moment? = null,
     val acceptsUntil: Moment? = null,
     val drainEndsAt: Moment? = null,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
@@ -55,21 +55,25 @@
     return state.copy(
         requests = state.requests.put(record.request, waiting),
         nextAttempt = state.nextAttempt + 1
-    ).let { Step(it, reserveEffects(it, reservations) + renewalTimer(it)) }
+    ).let { Step(it, reserveEffects(it, reservations)) }.then { setRenewalTimer(it) }
 }
 
 /** Renews all reservations, so that the hold time of each starts again. */
 internal fun renewReservations(state: GatewayState): Step<GatewayState> {
     val current = state.requests.values.flatMap { it.reservations.entries }
         .associate { it.key to it.value }
-    if (current.isEmpty()) return state.step()
-    return Step(state, reserveEffects(state, current) + renewalTimer(state))
+    val next = state.copy(renewalTimerSet = false)
+    if (current.isEmpty()) return next.step()
+    return Step(next, reserveEffects(next, current)).then { setRenewalTimer(it) }
 }
 
-private fun renewalTimer(state: GatewayState) = RuntimeEffect.SetTimer(
-    TimerId.ReservationRenewal,
-    state.bounds.reservationHold / RENEWALS_PER_HOLD
-)
+/** Sets the timer for the next renewal of all reservations, unless it is set already. */
+private fun setRenewalTimer(state: GatewayState): Step<GatewayState> {
+    if (state.renewalTimerSet) return state.step()
+    val interval = state.bounds.reservationHold / RENEWALS_PER_HOLD
+    return state.copy(renewalTimerSet = true)
+        .step(RuntimeEffect.SetTimer(TimerId.ReservationRenewal, interval))
+}
 
 /** Releases all memory that is reserved for a request. */
 internal fun releaseReservations(state: GatewayState, record: ForwardRecord): Step<GatewayState> =
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ReservationReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ReservationReducerTest.kt
@@ -101,6 +101,24 @@
         assertEquals(emptyList(), harness.reserves())
     }
 
+    /** Each new reservation put the renewal of all off, so that engines dropped memory in use. */
+    @Test
+    fun `reservations are renewed although new ones are made all the time`() {
+        val harness = fourEngineHarness()
+        harness.arriveLong()
+        val first = harness.reserves().first().reservation
+        var renewedAt = harness.now
+        repeat(12) { number ->
+            harness.advance(500.milliseconds)
+            if (harness.reserves().any { it.reservation == first }) renewedAt = harness.now
+            assertTrue(harness.now - renewedAt < 3.seconds, "not renewed for 3 s")
+            harness.feed(ForwardEvent.CallerLeft(RequestId("n${number - 1}")))
+            val head = headOf("/stream/x", prompt = 600_000, deadline = 10.seconds)
+            harness.arrive("n$number", head)
+            assertTrue(harness.reserves().isNotEmpty())
+        }
+    }
+
     @Test
     fun `after three refused choices the request is refused as not run`() {
         val harness = fourEngineHarness()
