Do not take one failed read of the store for an outage of it

Cause: records of live endpoints lapse while the store is away, so removed endpoints are retained for a time after an outage.

Evidence: the new test in PublishedReducerTest, three cut watches in a row and a removal 0.4 s later, failed with the condition of before: "expected: <[e2]> but was: <[e1, e2]>".

Fix: a record lapses three heartbeats after the last one that reached the store, so none can have lapsed in an outage of less than two intervals. The interval comes from the settings file; only a longer outage lets removed endpoints stay.

Measured: tests of PublishedReducer, BootSettings, GatewayOnPlatform and the gateway's properties pass.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -268,26 +268,25 @@
         .step(logEffect(LogEvent.DATA_CENTRE_BACK, "data_centre" to dataCentre))
 }
 
-/**
- * Records that the store answered. After an outage, lapsed endpoints are retained for a time in
- * which they can register again.
- */
+/** Records that the store answered. */
 private fun noteStoreAnswer(state: GatewayState): Step<GatewayState> {
     val published = state.published
     val now = state.common.now
     val silence = now - published.lastReadAt
-    val next = published.copy(failedReads = 0, lastReadAt = now)
-    val outage = published.revision != Revision.NONE &&
+    val answered = state.copy(published = published.copy(failedReads = 0, lastReadAt = now))
+    val isOutage = published.revision != Revision.NONE &&
         (!published.storeReachable || silence > MAX_SILENCE_WITHOUT_OUTAGE)
-    return if (outage) {
-        val wait = state.bounds.endpointGracePeriod
-        state.copy(published = next.copy(lapsedRetainedUntil = now + wait)).step(
-            logEffect(LogEvent.STORE_REGAINED, "silent" to silence),
-            RuntimeEffect.SetTimer(TimerId.EndpointReturn, wait)
-        )
-    } else {
-        state.copy(published = next).step()
-    }
+    if (!isOutage) return answered.step()
+    return answered.step(logEffect(LogEvent.STORE_REGAINED, "silent" to silence))
+        .then { if (silence < it.bounds.endpointLapseTime) it.step() else retainLapsed(it) }
+}
+
+/** After an outage in which records can have lapsed, lets their endpoints register again. */
+private fun retainLapsed(state: GatewayState): Step<GatewayState> {
+    val wait = state.bounds.endpointGracePeriod
+    val retainedUntil = state.common.now + wait
+    return state.copy(published = state.published.copy(lapsedRetainedUntil = retainedUntil))
+        .step(RuntimeEffect.SetTimer(TimerId.EndpointReturn, wait))
 }
 
 internal fun reduceReadFailed(
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -199,6 +199,7 @@
     retryRatio = 0.2,
     retryWindow = 10.seconds,
     retryAllowance = 10.0,
+    endpointLapseTime = 2400.milliseconds,
     endpointGracePeriod = 2500.milliseconds,
     reservationHold = 3.seconds,
     drainTime = 8.seconds
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
@@ -103,6 +103,32 @@
         assertEquals(setOf("e1", "e3"), harness.knownEndpoints())
     }
 
+    /** A cut watch is no outage: no record can have lapsed in so short a time. */
+    @Test
+    fun `an endpoint removed shortly after a failed read is removed at once`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        repeat(3) {
+            harness.advance(1200.milliseconds)
+            harness.feed(storeFailure)
+            harness.advance(100.milliseconds)
+            harness.feedChanges()
+            harness.advance(400.milliseconds)
+        }
+        harness.feedChanges(PublishedRecord.EndpointRemoved(EndpointId("e1")))
+        assertEquals(setOf("e2"), harness.knownEndpoints())
+    }
+
+    /** Records lapse after three heartbeats, so those of an outage of two may come back. */
+    @Test
+    fun `an endpoint removed after the time of two heartbeats without an answer is retained`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.advance(1500.milliseconds)
+        harness.feed(storeFailure)
+        harness.advance(900.milliseconds)
+        harness.feedChanges(PublishedRecord.EndpointRemoved(EndpointId("e1")))
+        assertEquals(setOf("e1", "e2"), harness.knownEndpoints())
+    }
+
     @Test
     fun `an endpoint removed without an outage is removed at once`() {
         val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
