Read all records anew if the store's changes cannot be read

Cause: an answer to a watch over 4 MB counted as a failed read and was asked for again from the same revision, without end; each further change made it longer. The class of fault is a retry of what fails in the same way each time.

Fix: a failed read tells whether it may succeed if it is repeated. A reducer that fails on an answer is treated alike.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
@@ -38,6 +38,7 @@
     FIGURE_REPLACED(2019, LogLevel.WARN, "a published figure cannot be used; another replaces it"),
     ENDPOINT_STATED_LEAVING(2020, LogLevel.INFO, "endpoint stated in an answer that it leaves"),
     ENDPOINT_PAUSES(2021, LogLevel.INFO, "endpoint turned a request away and asks for a pause"),
+    CHANGES_UNREADABLE(2022, LogLevel.WARN, "changes could not be read; reading all records again"),
     PEER_CONNECTED(3001, LogLevel.INFO, "peer connected"),
     PEER_DISCONNECTED(3002, LogLevel.INFO, "peer disconnected"),
     PEER_SILENT(3003, LogLevel.WARN, "peer is silent; opening a fresh connection"),
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEvent.kt
@@ -22,6 +22,11 @@
     /** The store no longer holds the changes after the requested revision. */
     data object HistoryLost : PublishedEvent
 
-    /** A read failed. [from] is the gateway that was asked, or null for the store. */
-    data class ReadFailed(val from: HostId?, val cause: String) : PublishedEvent
+    /**
+     * A read failed. [from] is the gateway that was asked, or null for the store. If the store
+     * answered and the answer could not be read, [repeatable] is false: the same read would get the
+     * same answer again, or a longer one.
+     */
+    data class ReadFailed(val from: HostId?, val cause: String, val repeatable: Boolean = true) :
+        PublishedEvent
 }
--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/ClientFailure.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/ClientFailure.kt
@@ -20,9 +20,10 @@
 
     /**
      * The connection broke or a timeout passed after at least part of the request was written, or
-     * an engine reported that a stream failed.
+     * an engine reported that a stream failed. [answering] tells whether that was within the body
+     * of the response.
      */
-    data class Broken(override val cause: String) : ClientFailure {
+    data class Broken(override val cause: String, val answering: Boolean = false) : ClientFailure {
         override val reached: Boolean get() = true
     }
 
--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
@@ -175,7 +175,7 @@
         HttpResponse(response.code, body.readByteArray(), response.headers).right()
     }
 } catch (failure: IOException) {
-    ClientFailure.Broken(describe(failure)).left()
+    ClientFailure.Broken(describe(failure), answering = true).left()
 }
 
 /** Removes `Retry-After`, because OkHttp repeats a call whose response is 503 with a value of 0. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayRecovery.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayRecovery.kt
@@ -112,7 +112,8 @@
         is PublishedEvent.ChangesRead, is PublishedEvent.HistoryLost -> null
     }
     return if (from == null) {
-        reduceReadFailed(state, PublishedEvent.ReadFailed(null, "the records could not be applied"))
+        val cause = "the records could not be applied"
+        reduceReadFailed(state, PublishedEvent.ReadFailed(null, cause, repeatable = false))
     } else {
         notePeerAnswer(state).step()
     }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -84,14 +84,20 @@
 internal fun notePeerAnswer(state: GatewayState): GatewayState =
     state.copy(published = state.published.copy(peerReadPending = false))
 
-/** Requests the changes after the known revision, or all records if none is known. */
-internal fun readNextChanges(state: GatewayState): Step<GatewayState> = state.step(
-    if (state.published.revision == Revision.NONE) {
-        PublishedEffect.ReadSnapshot
-    } else {
-        PublishedEffect.WatchChanges(state.published.revision, WATCH_WAIT)
-    }
-)
+/**
+ * Requests the changes after the known revision, or all records if none is known or these changes
+ * cannot be read.
+ */
+internal fun readNextChanges(state: GatewayState): Step<GatewayState> {
+    val published = state.published
+    return state.step(
+        if (published.revision == Revision.NONE || published.changesUnreadable) {
+            PublishedEffect.ReadSnapshot
+        } else {
+            PublishedEffect.WatchChanges(published.revision, WATCH_WAIT)
+        }
+    )
+}
 
 /**
  * Requests the next changes after a wait, so that changes in quick succession arrive together. The
@@ -106,7 +112,10 @@
     state: GatewayState,
     event: PublishedEvent.SnapshotRead
 ): Step<GatewayState> {
-    if (event.revision < state.published.revision) return readNextChanges(state)
+    if (event.revision < state.published.revision) {
+        val published = state.published.copy(changesUnreadable = false)
+        return readNextChanges(state.copy(published = published))
+    }
     return noteStoreAnswer(state).then { applySnapshot(it, event) }.then { readNextChanges(it) }
 }
 
@@ -155,7 +164,10 @@
     records: List<PublishedRecord>
 ): Step<GatewayState> = state.step()
     .thenEach(records) { next, record -> applyRecord(next, record) }
-    .then { it.copy(published = it.published.copy(revision = revision)).step() }
+    .then {
+        val published = it.published.copy(revision = revision, changesUnreadable = false)
+        it.copy(published = published).step()
+    }
 
 private fun applyRecord(state: GatewayState, record: PublishedRecord): Step<GatewayState> =
     when (record) {
@@ -296,12 +308,21 @@
     val published = state.published
     val failedReads = published.failedReads + 1
     val wait = (READ_BACKOFF_STEP * failedReads).coerceAtMost(MAX_READ_BACKOFF)
-    val next = state.copy(published = published.copy(failedReads = failedReads))
-    val retry = RuntimeEffect.SetTimer(TimerId.PublishedRead, wait)
-    return if (published.storeReachable) {
-        next.step(logEffect(LogEvent.STORE_LOST, "cause" to event.cause), retry)
+    val next = published.copy(
+        failedReads = failedReads,
+        changesUnreadable = published.changesUnreadable || !event.repeatable
+    )
+    val log = when {
+        next.changesUnreadable && !published.changesUnreadable -> LogEvent.CHANGES_UNREADABLE
+        published.storeReachable -> LogEvent.STORE_LOST
+        else -> null
+    }
+    val failed = state.copy(published = next)
+        .step(RuntimeEffect.SetTimer(TimerId.PublishedRead, wait))
+    return if (log == null) {
+        failed
     } else {
-        next.step(retry)
+        failed.then { it.step(logEffect(log, "cause" to event.cause)) }
     }
 }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedState.kt
@@ -12,7 +12,9 @@
  * The published records as read so far, except the endpoints.
  *
  * [failedReads] counts the reads of the store that failed since the last successful one, at
- * [lastReadAt]. [peerReadPending] tells whether a read from another gateway is in progress.
+ * [lastReadAt]. [changesUnreadable] tells whether the changes after [revision] could not be read,
+ * so that all records are read instead. [peerReadPending] tells whether a read from another gateway
+ * is in progress.
  * Records of [lapsedEndpoints] were removed around an outage of the store; these endpoints are
  * retained until [lapsedRetainedUntil], so that they can register again.
  */
@@ -22,6 +24,7 @@
     val routes: RouteIndex = RouteIndex.EMPTY,
     val dataCentresOut: PersistentSet<DataCentreId> = persistentSetOf(),
     val failedReads: Int = 0,
+    val changesUnreadable: Boolean = false,
     val peerReadPending: Boolean = false,
     val lastReadAt: Moment = Moment.START,
     val lapsedEndpoints: PersistentSet<EndpointId> = persistentSetOf(),
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
@@ -64,6 +64,8 @@
         assertEquals(1, harness.watches().size)
     }
 
+    private fun GatewayHarness.reads() = effects.filterIsInstance<PublishedEffect>()
+
     private fun GatewayHarness.watches() = effects.filterIsInstance<PublishedEffect.WatchChanges>()
 
     @Test
@@ -150,6 +152,41 @@
         assertEquals(1, harness.advance(501.milliseconds).filterIsInstance<PublishedEffect>().size)
     }
 
+    /**
+     * Guards against a gateway that asks for the same changes without end and stays on an old
+     * table: an answer that is too large grows with each further change.
+     */
+    @Test
+    fun `changes that cannot be read are replaced by a full read`() {
+        val harness = readyHarness(endpointOf("e1"))
+        val unreadable = PublishedEvent.ReadFailed(null, "answer over 4 bytes", repeatable = false)
+        harness.feed(unreadable)
+        harness.advance(110.milliseconds)
+        assertEquals(listOf(PublishedEffect.ReadSnapshot), harness.reads())
+        harness.feed(storeFailure)
+        harness.advance(210.milliseconds)
+        assertEquals(listOf(PublishedEffect.ReadSnapshot), harness.reads())
+        harness.feedSnapshot(sampleTable.copy(version = version(7)), listOf(endpointOf("e1")))
+        assertEquals(version(7), harness.state.published.table?.version)
+        assertEquals(harness.state.published.revision, harness.watches().single().revision)
+    }
+
+    /** Else a store whose changes are never readable would be asked as fast as it answers. */
+    @Test
+    fun `changes that stay unreadable are asked for after a wait`() {
+        val harness = readyHarness(endpointOf("e1"))
+        var reads = 0
+        repeat(20) {
+            harness.feed(PublishedEvent.ReadFailed(null, "malformed", repeatable = false))
+            reads += harness.advance(50.milliseconds).filterIsInstance<PublishedEffect>().size
+            if (PublishedEffect.ReadSnapshot in harness.effects) {
+                harness.feedSnapshot(sampleTable, listOf(endpointOf("e1")))
+                reads += harness.reads().size
+            }
+        }
+        assertTrue(reads <= 20, "$reads reads in a second")
+    }
+
     /** The store may refuse reads of one gateway while it answers the others. */
     @Test
     fun `newer records are read from another gateway while the store does not answer`() {
