--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EngineModel.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EngineModel.kt
@@ -10,11 +10,15 @@
 package org.gypsumroute.core.gateway
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
 import kotlin.time.DurationUnit
 import org.gypsumroute.api.EngineProfile
 import org.gypsumroute.api.Tokens
 
-/** Time estimates for engines with this published [profile]. */
+/**
+ * Time estimates for engines with this published [profile]. No estimate is longer than
+ * [LONGEST_ESTIMATE], so that sums and differences of estimates stay finite.
+ */
 class EngineModel(private val profile: EngineProfile) {
     private val prefillTokensPerPass = profile.prefillChunkTokens.toLong() * profile.stepsPerPass
 
@@ -22,8 +26,9 @@
     fun prefillTime(prompt: Tokens): Duration {
         val tokens = prompt.count.toDouble()
         val millionPairs = tokens * (tokens + 1) / 2 / PAIRS_PER_MILLION
-        return profile.prefillTimePerToken * tokens +
+        val time = profile.prefillTimePerToken * tokens +
             profile.prefillTimePerMillionPairs * millionPairs
+        return time.coerceAtMost(LONGEST_ESTIMATE)
     }
 
     /**
@@ -33,7 +38,7 @@
     fun passTime(decodingRequests: Int, context: Long): Duration {
         val step = profile.stepTime + profile.stepTimePerSequence * decodingRequests +
             profile.stepTimePerThousandContextTokens * (context / TOKENS_PER_CONTEXT_UNIT)
-        return step * profile.stepsPerPass
+        return (step * profile.stepsPerPass).coerceAtMost(LONGEST_ESTIMATE)
     }
 
     /** Passes needed to read [tokens] while other requests decode. */
@@ -48,11 +53,14 @@
 
     /** Time to decode an answer of [output] tokens if each pass takes [pass]. */
     fun decodeTime(output: Tokens, pass: Duration): Duration =
-        pass * (output.count.toDouble() / profile.stepsPerPass)
+        (pass * (output.count.toDouble() / profile.stepsPerPass)).coerceAtMost(LONGEST_ESTIMATE)
 
     private companion object {
         const val PAIRS_PER_MILLION = 1e6
         const val TOKENS_PER_CONTEXT_UNIT = 1000.0
+
+        /** Longer than any caller waits. */
+        val LONGEST_ESTIMATE: Duration = 30.days
     }
 }
 
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -143,16 +143,20 @@
 
 private fun durationOf(age: Int): Duration = age.toLong().coerceIn(AGES_MS).milliseconds
 
+/** Figures that no gateway means are limited, so that sums of loads stay in range. */
 private fun loadOf(record: LoadRecord) = EngineLoad(
-    openRequests = record.openRequests,
-    decodingRequests = record.decodingRequests,
-    context = record.context,
-    pendingPrefill = record.pendingPrefill.milliseconds,
-    totalPrefillSent = record.totalPrefillSent.milliseconds,
-    totalHelperPrefillSent = record.totalHelperPrefillSent.milliseconds,
-    delayCostPerSecond = record.delayCostPerSecond / HUNDREDTHS_PER_UNIT,
+    openRequests = record.openRequests.coerceIn(REQUESTS),
+    decodingRequests = record.decodingRequests.coerceIn(REQUESTS),
+    context = record.context.coerceIn(TOKENS),
+    pendingPrefill = record.pendingPrefill.coerceIn(TIMES_MS).milliseconds,
+    totalPrefillSent = record.totalPrefillSent.coerceIn(TOTALS_MS).milliseconds,
+    totalHelperPrefillSent = record.totalHelperPrefillSent.coerceIn(TOTALS_MS).milliseconds,
+    delayCostPerSecond = record.delayCostPerSecond.coerceAtLeast(0) / HUNDREDTHS_PER_UNIT,
     gapTolerances = record.gapTolerances.map {
-        GapTolerance(it.gap?.milliseconds ?: Duration.INFINITE, it.value / HUNDREDTHS_PER_UNIT)
+        GapTolerance(
+            it.gap?.coerceAtLeast(0)?.milliseconds ?: Duration.INFINITE,
+            it.value.coerceAtLeast(0) / HUNDREDTHS_PER_UNIT
+        )
     }
 )
 
@@ -166,5 +170,11 @@
 
 /** Plausible ages in milliseconds; older ones count as one day. */
 private val AGES_MS = 0L..86_400_000L
+
+/** Plausible requests and tokens at an endpoint, and times in milliseconds. */
+private val REQUESTS = 0..1_000_000
+private val TOKENS = 0L..1_000_000_000_000L
+private val TIMES_MS = 0L..2_592_000_000L
+private val TOTALS_MS = 0L..1_000_000_000_000_000L
 private const val REPORT_VERSION: Byte = 1
 private const val HUNDREDTHS_PER_UNIT = 100.0
