--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
@@ -21,6 +21,10 @@
         "gypsumroute_loads_rejected_total",
         "Loads stated by endpoints that could not be used"
     ),
+    CALLERS_LEFT(
+        "gypsumroute_callers_left_total",
+        "Callers that left a gateway before their answer was complete, by outcome"
+    ),
     STATEMENTS(
         "gypsumroute_statements_total",
         "Statements of endpoints in answers that changed what a gateway believes, by outcome"
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
@@ -54,6 +54,10 @@
     MetricLabels(service = record.service, outcome = STALLED)
 )
 
+/** Counts a caller that left before its answer was complete. */
+internal fun countCallerLeft(stage: LeavingStage): Effect =
+    RuntimeEffect.Count(Metric.CALLERS_LEFT, MetricLabels(outcome = stage.code))
+
 /** Counts bytes of an endpoint that belong to no open request. */
 internal fun countDroppedInput(input: UnexpectedInput): Effect =
     RuntimeEffect.Count(Metric.INPUT_DROPPED, MetricLabels(outcome = input.code))
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -331,6 +331,7 @@
     "endpoint" to record.id,
     "service" to record.service,
     "address" to record.address,
+    "endpoint_start" to record.startedAt?.milliseconds,
     "endpoint_data_centre" to record.dataCentre,
     "cold_for" to record.coldRemaining
 )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -102,15 +102,21 @@
 
 internal fun reduceCallerLeft(state: GatewayState, request: RequestId): Step<GatewayState> {
     val record = state.requests[request] ?: return state.step()
+    val stage = when {
+        record.answerStarted -> LeavingStage.ANSWERED_IN_PART
+        record.openAttempts.isNotEmpty() -> LeavingStage.SENT
+        else -> LeavingStage.WAITING
+    }
     return closeRequest(state, record, ErrorKind.CALLER_LEFT.code).andThen(
         logEffect(
             LogEvent.CALLER_LEFT,
             "request" to record.head.callerRequestId,
             "route" to record.route.name,
             "endpoint" to record.attempt?.endpoint,
-            "begun" to record.answerStarted,
+            "stage" to stage.code,
             "took" to (state.common.now - record.arrivedAt)
-        )
+        ),
+        countCallerLeft(stage)
     )
 }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -127,6 +127,7 @@
     "revision" to state.published.revision,
     "records_age" to (state.common.now - state.published.lastReadAt),
     "endpoint" to choice.endpoint,
+    "endpoint_start" to endpoint.record.startedAt?.milliseconds,
     "address" to endpoint.record.address,
     "helpers" to choice.helpers.joinToString(" "),
     "read_time" to choice.prefillTime,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
@@ -91,9 +91,9 @@
     source: String
 ): Step<GatewayState> {
     val known = state.leaving[id]
-    val isOlder = isBefore(mark.startedAt, known?.startedAt)
     val isKnown = known != null && known.startedAt == mark.startedAt && (known.own || !mark.own)
-    if (isOlder || isKnown) return state.step()
+    if (isKnown) return state.step()
+    if (isBefore(mark.startedAt, known?.startedAt)) return state.step(countOutdated(mark))
     return state.copy(leaving = state.leaving.put(id, mark)).step(
         logEffect(
             LogEvent.ENDPOINT_STATED_LEAVING,
@@ -113,6 +113,12 @@
 internal fun countBelieved(outcome: String) =
     RuntimeEffect.Count(Metric.STATEMENTS, MetricLabels(outcome = outcome))
 
+/** Counts a statement of a start that is older than one that is known to leave. */
+private fun countOutdated(mark: LeavingMark) = RuntimeEffect.Count(
+    Metric.STATEMENTS_REJECTED,
+    MetricLabels(outcome = if (mark.own) "leaving_outdated" else "leaving_reported_outdated")
+)
+
 private fun countUnusable(kind: StatementKind) = if (kind == StatementKind.LOAD) {
     RuntimeEffect.Count(Metric.LOADS_REJECTED, MetricLabels())
 } else {
