Read all sockets before a request is sent, and again before it is written

What callers saw: nothing, they had left; their requests reached endpoints.

A decision to send is a task of the event loop, and tasks that wait when the loop comes back run before the sockets are read, so that a close that had arrived meanwhile was not known. The same holds where a connection to the endpoint opens.

Evidence: CallersGoneTest closes a caller while the loop is occupied and lets the decision to send wait behind. Before: on a kept connection the request reached the endpoint ([served, on a kept connection, served]); now it does not.

Change: an attempt starts after the next pass over the sockets, and writes after another one if it had to open a connection. It is registered at once, so that it can be given up meanwhile. A connection that closed in between ends the attempt as never sent. The test above it now occupies the loop until all callers have closed, instead of for 0.2 s: under load one of eight closed later than that, and its request was rightly passed on.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -50,8 +50,15 @@
     private var bytesSinceTimeout = 0L
     private var timeout: ScheduledFuture<*>? = null
 
-    /** Starts on an idle connection or on a new one. */
-    fun start(connections: EndpointConnections) {
+    /**
+     * Starts on an idle connection or on a new one, unless the caller turns out to have left before
+     * the request is written.
+     */
+    fun start(connections: EndpointConnections) = traffic.afterReads {
+        if (!ended) startNow(connections)
+    }
+
+    private fun startNow(connections: EndpointConnections) {
         val isFirstThere = exchange.usedAddresses.add(target.address)
         val idleConnection =
             if (isFirstThere) connections.takeIdle(target.address, maxIdle) else null
@@ -63,11 +70,19 @@
             when {
                 ended -> opened?.close()
                 opened == null -> finish(AttemptOutcome.NeverSent(cause))
-                else -> write(opened)
+                else -> traffic.afterReads { writeUnlessEnded(opened) }
             }
         }
     }
 
+    private fun writeUnlessEnded(opened: EndpointConnection) {
+        when {
+            ended -> opened.close()
+            opened.isUsable -> write(opened)
+            else -> finish(AttemptOutcome.NeverSent("closed before the request was sent"))
+        }
+    }
+
     /** Stops without reporting an outcome and closes the connection to the endpoint. */
     fun abandon() {
         if (ended) return
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallersGoneTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallersGoneTest.kt
@@ -3,6 +3,7 @@
  */
 package org.gypsumroute.gateway
 
+import java.util.concurrent.LinkedBlockingQueue
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -15,6 +16,9 @@
 class CallersGoneTest {
     private val fixture = TrafficFixture()
 
+    /** Ids of the requests that the endpoint received. */
+    private val received = LinkedBlockingQueue<String>()
+
     @AfterTest
     fun close() = fixture.close()
 
@@ -37,10 +41,11 @@
         leave: (RawConnection) -> Unit
     ): List<String> {
         val callers = List(CALLERS) { connect() }
-        fixture.occupyLoop(LOOP_TIME)
-        callers.forEachIndexed { number, caller -> caller.write(request("$number")) }
-        callers.forEach(leave)
-        return fixture.eventsWithin(LOOP_TIME * 3)
+        fixture.whileLoopIsOccupied {
+            callers.forEachIndexed { number, caller -> caller.write(request("$number")) }
+            callers.forEach(leave)
+        }
+        return fixture.eventsWithin(WAIT)
             .filterIsInstance<ForwardEvent.Arrived>().map { it.head.callerRequestId }
     }
 
@@ -58,9 +63,40 @@
         }
     }
 
+    /** Guards against requests that the loop sends late, before it looks whether callers left. */
+    @Test
+    fun `no request is sent if its caller closed before the loop came to send it`() {
+        val endpoint = fixture.endpoint { connection ->
+            generateSequence { connection.readMessage().ifEmpty { null } }.forEach { message ->
+                val id = message.substringAfter("X-Id: ").substringBefore("\r\n")
+                received += id
+                connection.write(responseTo(id))
+            }
+        }
+        for (id in listOf("on a new connection", "on a kept connection")) {
+            val gone = fixture.call(get(id))
+            val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+            fixture.whileLoopIsOccupied {
+                gone.close()
+                fixture.send(arrived, endpoint.address)
+            }
+            assertEquals(arrived.request, fixture.nextEvent<ForwardEvent.CallerLeft>().request)
+            serveOne(endpoint)
+        }
+        assertEquals(listOf("served", "served"), received.toList())
+    }
+
+    private fun serveOne(endpoint: StubEndpoint) {
+        val caller = fixture.call(get("served"))
+        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+        fixture.send(arrived, endpoint.address)
+        fixture.awaitAttemptEnd(arrived.request)
+        caller.readMessage()
+    }
+
     private companion object {
         const val CALLERS = 8
         const val BODY_BYTES = 100_000
-        val LOOP_TIME = 200.milliseconds
+        val WAIT = 400.milliseconds
     }
 }
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -74,14 +75,29 @@
     fun occupyLoop(time: Duration = 200.milliseconds) =
         loop.execute { Thread.sleep(time.inWholeMilliseconds) }
 
+    /** Runs [action] while the event loop is occupied, so that all its input stays unread. */
+    fun whileLoopIsOccupied(action: () -> Unit) {
+        val done = CountDownLatch(1)
+        loop.execute { done.await() }
+        action()
+        // Segments that are under way reach the sockets of the loop.
+        Thread.sleep(SETTLE_MILLISECONDS)
+        done.countDown()
+    }
+
     fun call(request: String): RawConnection =
         RawConnection(Socket(InetAddress.getLoopbackAddress(), port)).also {
             openResources += it
             it.write(request)
         }
 
-    fun endpoint(script: (RawConnection) -> Unit): StubEndpoint =
-        StubEndpoint(script).also { openResources += it }
+    /** Starts an endpoint; [receiveBufferBytes] bounds what it takes before it reads. */
+    fun endpoint(
+        script: (RawConnection) -> Unit,
+        receiveBufferBytes: Int?
+    ): StubEndpoint = StubEndpoint(script, receiveBufferBytes).also { openResources += it }
+
+    fun endpoint(script: (RawConnection) -> Unit): StubEndpoint = endpoint(script, null)
 
     /** Starts an attempt to send the request that arrived to [endpoint]. */
     fun send(
@@ -136,13 +152,20 @@
 
     companion object {
         const val WAIT_SECONDS = 5L
+        const val SETTLE_MILLISECONDS = 50L
         val ENDPOINT_START = UnixTime(7)
     }
 }
 
 /** An endpoint that runs [script] for each connection and records the connections. */
-internal class StubEndpoint(private val script: (RawConnection) -> Unit) : AutoCloseable {
-    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+internal class StubEndpoint(
+    private val script: (RawConnection) -> Unit,
+    receiveBufferBytes: Int? = null
+) : AutoCloseable {
+    private val listener = ServerSocket().apply {
+        receiveBufferBytes?.let { receiveBufferSize = it }
+        bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50)
+    }
     val address = EndpointAddress("127.0.0.1", listener.localPort)
     val connections = LinkedBlockingQueue<RawConnection>()
 
