Reset the connection of an attempt that is given up

What callers saw: nothing, they had left; an endpoint that reads late still got their whole requests.

Change: such a connection is reset, which drops what is not delivered. What the endpoint's own kernel holds already cannot be taken back.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
@@ -83,11 +83,11 @@
         }
     }
 
-    /** Stops without reporting an outcome and closes the connection to the endpoint. */
+    /** Stops without reporting an outcome and resets the connection to the endpoint. */
     fun abandon() {
         if (ended) return
         cleanUp()
-        connection?.close()
+        connection?.reset()
     }
 
     /** Called when the head of the response arrived. */
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
@@ -108,6 +109,15 @@
         channel.close()
     }
 
+    /**
+     * Closes the connection without notifying its attempt, and drops what the kernel has not
+     * delivered yet, so that no request that was given up reaches the endpoint late.
+     */
+    fun reset() {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        close()
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val current = attempt
         if (current == null || message !is HttpObject) {
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -220,6 +221,14 @@
     fun readAll(): String? =
         runCatching { String(input.readAllBytes(), Charsets.ISO_8859_1) }.getOrNull()
 
+    /** Waits for the end of the connection; returns whether it is a reset without another byte. */
+    fun isReset(): Boolean = try {
+        input.read()
+        false
+    } catch (reset: SocketException) {
+        true
+    }
+
     /** Closes the connection so that the peer receives a reset. */
     fun reset() {
         socket.setSoLinger(true, 0)
