Hold a leaving mark until a start after the statement is published

What callers saw: requests sent to an endpoint after it had said that it leaves; some of them are lost when it ends.

Cause: the mark named one start of the endpoint, the one in the gateway's record, and held only while the record showed exactly that start. The class of fault is a statement that is filed under what the hearer believes of the speaker, and dropped when that belief changes.

Evidence: three tests in LeavingMarkTest, which failed before: start 3 after a mark of 5 (e1 used again), a report of start 9 beside a mark of 5 (e1 used again), a start 5 s before the statement (taken for a newer one).

Change: a mark holds for all starts that can have made the statement: up to the marked one, and up to the moment of the statement unless the record shows a later start already. Reports only move it forward.

What remains: the moment is the host's time of day at its start and the steady clock; a host whose clock is far ahead leaves a new start under the same id unused until that time.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
@@ -2,8 +2,8 @@
  * What endpoints state of themselves in their answers, and what other gateways report of that.
  *
  * An endpoint that stated that it leaves gets nothing new, whatever its published record says,
- * until a newer start of it is published. The mark belongs to that start and outlives the record,
- * which may lapse and come back while the endpoint still runs.
+ * until a newer start of it is published: one that began after the statement. The mark outlives the
+ * record, which may lapse and come back while the endpoint still runs.
  */
 package org.gypsumroute.core.gateway
 
@@ -33,7 +33,8 @@
     is EndpointStatement.Load -> reduceLoadStated(state, event.endpoint, statement.report)
 
     is EndpointStatement.Leaving -> {
-        val mark = LeavingMark(event.startedAt, state.common.now, own = true)
+        val now = state.common.now
+        val mark = markOf(state, event.endpoint, event.startedAt, now, own = true)
         markLeaving(state, event.endpoint, mark, OWN_SOURCE)
     }
 
@@ -49,7 +50,7 @@
     reported: List<ReportedLeaving>
 ): Step<GatewayState> = state.step().thenEach(reported) { next, leaving ->
     val statedAt = next.common.now + -leaving.ago
-    val mark = LeavingMark(leaving.startedAt, statedAt, own = false)
+    val mark = markOf(next, leaving.endpoint, leaving.startedAt, statedAt, own = false)
     markLeaving(next, leaving.endpoint, mark, source)
 }
 
@@ -69,8 +70,7 @@
 /** Whether the endpoint leaves, by its record or by what it stated in an answer. */
 internal fun isLeaving(state: GatewayState, endpoint: EndpointState): Boolean {
     val record = endpoint.record
-    val mark = state.leaving[record.id]
-    return record.leaving || (mark != null && mark.startedAt == record.startedAt)
+    return record.leaving || state.leaving[record.id]?.holdsFor(record.startedAt) == true
 }
 
 /** Forgets marks of endpoints whose records are gone for so long that they have ended. */
@@ -84,6 +84,31 @@
     return state.copy(leaving = left.build())
 }
 
+/**
+ * The mark for a statement that is attributed to [startedAt]. Unless the record shows a later start
+ * by now, any start before the statement can have made it, since records may be old.
+ */
+private fun markOf(
+    state: GatewayState,
+    id: EndpointId,
+    startedAt: UnixTime?,
+    statedAt: Moment,
+    own: Boolean
+): LeavingMark {
+    val saidBefore = UnixTime(state.startedAt.milliseconds + statedAt.milliseconds)
+    val published = state.endpoints[id]?.record?.startedAt
+    val lastStart = when {
+        startedAt == null -> saidBefore
+        isBefore(startedAt, published) || isBefore(saidBefore, startedAt) -> startedAt
+        else -> saidBefore
+    }
+    return LeavingMark(startedAt, statedAt, lastStart, own)
+}
+
+/**
+ * Keeps the mark of the latest start. It holds for earlier ones too, so that neither a report of
+ * another start nor a record with an earlier one ends it.
+ */
 private fun markLeaving(
     state: GatewayState,
     id: EndpointId,
@@ -91,14 +116,22 @@
     source: String
 ): Step<GatewayState> {
     val known = state.leaving[id]
-    val isKnown = known != null && known.startedAt == mark.startedAt && (known.own || !mark.own)
-    if (isKnown) return state.step()
-    if (isBefore(mark.startedAt, known?.startedAt)) return state.step(countOutdated(mark))
-    return state.copy(leaving = state.leaving.put(id, mark)).step(
+    val isRepeated = known != null && known.startedAt == mark.startedAt
+    if (isRepeated && (known.own || !mark.own)) return state.step()
+    if (!isRepeated && known?.startedAt != null && !isBefore(known.startedAt, mark.startedAt)) {
+        return state.step(countOutdated(mark))
+    }
+    val next = when {
+        known == null -> mark
+        isRepeated -> known.copy(own = true)
+        else -> mark.copy(lastStart = laterOf(known.lastStart, mark.lastStart))
+    }
+    return state.copy(leaving = state.leaving.put(id, next)).step(
         logEffect(
             LogEvent.ENDPOINT_STATED_LEAVING,
             "endpoint" to id,
             "started_at" to mark.startedAt?.milliseconds,
+            "last_start" to next.lastStart.milliseconds,
             "source" to source,
             "age" to (state.common.now - mark.statedAt),
             "published" to state.endpoints[id]?.record?.startedAt?.milliseconds
@@ -110,6 +143,9 @@
 private fun isBefore(start: UnixTime?, other: UnixTime?): Boolean =
     start != null && other != null && start.milliseconds < other.milliseconds
 
+private fun laterOf(start: UnixTime, other: UnixTime): UnixTime =
+    if (isBefore(start, other)) other else start
+
 internal fun countBelieved(outcome: String) =
     RuntimeEffect.Count(Metric.STATEMENTS, MetricLabels(outcome = outcome))
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -268,7 +268,7 @@
     dataCentre: DataCentreId = homeDataCentre,
     leaving: Boolean = false,
     coldRemaining: Duration = Duration.ZERO,
-    startStamp: Long = 1
+    startStamp: Long? = 1
 ) = EndpointRecord(
     id = EndpointId(id),
     service = service,
@@ -277,7 +277,7 @@
     slots = if (service == modelService) 11 else 6,
     leaving = leaving,
     coldRemaining = coldRemaining,
-    startedAt = UnixTime(startStamp)
+    startedAt = startStamp?.let { UnixTime(it) }
 )
 
 internal fun headOf(
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/LeavingMarkTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/LeavingMarkTest.kt
@@ -143,6 +143,54 @@
         assertEquals(setOf("e2"), harness.used())
     }
 
+    /** Guards against statements that are ignored because the record shows an earlier start. */
+    @Test
+    fun `a record of an earlier start, or of none, does not allow it again`() {
+        val harness = twoEndpoints()
+        harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1", startStamp = 5)))
+        harness.stateLeaving("e1", start = 5)
+        for (start in listOf(3L, null)) {
+            harness.feedChanges(PublishedRecord.EndpointRemoved(EndpointId("e1")))
+            harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1", startStamp = start)))
+            assertEquals(setOf("e2"), harness.used(), "start $start")
+        }
+    }
+
+    /** Guards against reports that end the mark of the start in this gateway's older records. */
+    @Test
+    fun `a report of another start that leaves does not allow it again`() {
+        for (reported in listOf(9L, 2L, null)) {
+            val harness = twoEndpoints()
+            harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1", startStamp = 5)))
+            harness.stateLeaving("e1", start = 5)
+            val event = reportFrom("10.0.0.2")
+            val other = ReportedLeaving(
+                EndpointId("e1"),
+                reported?.let { UnixTime(it) },
+                100.milliseconds
+            )
+            harness.feed(event.copy(report = event.report.copy(leaving = listOf(other))))
+            assertEquals(setOf("e2"), harness.used(), "reported $reported")
+        }
+    }
+
+    /**
+     * Guards against a mark that names the wrong start: the gateway's record is old, and the
+     * endpoint started again unseen before it stated that it leaves.
+     */
+    @Test
+    fun `a start that had begun before the statement is not taken for a newer one`() {
+        val harness = twoEndpoints()
+        harness.advance(20.seconds)
+        harness.stateLeaving("e1")
+        val sinceStart = harness.now.milliseconds
+        for ((start, isNewer) in listOf(sinceStart - 5_000 to false, sinceStart + 5_000 to true)) {
+            val stamp = harness.state.startedAt.milliseconds + start
+            harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1", startStamp = stamp)))
+            assertEquals(isNewer, "e1" in harness.used(), "start $start ms after the gateway's")
+        }
+    }
+
     @Test
     fun `time alone does not allow it again`() {
         val harness = twoEndpoints()
