Occupy the loop before callers send in the test of callers that left

The test failed in 2 of 12 runs under load, each time with request 0 of a case: the loop read it before the task that occupies it began, and its caller had not closed by then.

--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -78,8 +78,13 @@
 
     /** Runs [action] while the event loop is occupied, so that all its input stays unread. */
     fun whileLoopIsOccupied(action: () -> Unit) {
+        val occupied = CountDownLatch(1)
         val done = CountDownLatch(1)
-        loop.execute { done.await() }
+        loop.execute {
+            occupied.countDown()
+            done.await()
+        }
+        occupied.await()
         action()
         // Segments that are under way reach the sockets of the loop.
         Thread.sleep(SETTLE_MILLISECONDS)
