Read callers on while their pipelined requests wait

What callers saw: nothing, they had left; the request that was being served went on, and those behind it were started.

Evidence: CallersGoneTest pipelines 100 requests and closes.

Change: reading never stops. What waits counts against the memory for bodies, and against twice the largest body for one connection; PipelinedInput holds it, split off CallerConnection. What does not fit is dropped with all behind it, and the request that it belongs to is refused as not run in its turn, with the time to come back, and the connection closed (CallerConnectionTest).

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
@@ -56,8 +56,7 @@
     /** Whether a response is complete but not written to the socket yet. */
     private var finishing = false
 
-    /** Parts of pipelined requests, which wait until the current request has its response. */
-    private val pipelined = ArrayDeque<HttpObject>()
+    private val pipelined = PipelinedInput(traffic.bodyMemory)
 
     /**
      * Whether the connection closes after the current response. A planned stop closes it only after
@@ -65,7 +64,7 @@
      */
     private val closesAfterResponse: Boolean
         get() = !keepAlive || closing ||
-            (traffic.draining && pipelined.none { it is LastHttpContent })
+            (traffic.draining && !pipelined.hasCompleteRequest)
     private var timeout: ScheduledFuture<*>? = null
     private var chunked = false
 
@@ -92,8 +91,7 @@
         if (!isBusy) {
             process(message)
         } else {
-            pipelined.addLast(message)
-            if (pipelined.size >= MAX_PIPELINED_MESSAGES) channel.config().isAutoRead = false
+            pipelined.add(message, limits.maxBodyBytes.toLong() * PIPELINED_BODIES)
         }
     }
 
@@ -111,7 +109,6 @@
         receiving?.release()
         receiving = null
         withdraw()
-        pipelined.forEach(ReferenceCountUtil::release)
         pipelined.clear()
         traffic.callerClosed(this)
         val exchange = serving ?: return
@@ -287,9 +284,14 @@
     private fun processPipelined() {
         finishing = false
         while (!isBusy && !closing) {
-            process(pipelined.removeFirstOrNull() ?: break)
+            process(pipelined.removeFirst() ?: return refuseTruncated())
         }
-        if (pipelined.size < MAX_PIPELINED_MESSAGES) channel.config().isAutoRead = true
+    }
+
+    /** Refuses the request of which parts were dropped while the one before it was served. */
+    private fun refuseTruncated() {
+        if (!pipelined.isTruncated) return
+        refuseAndClose(ErrorKind.OVERLOADED, "no room for more pipelined requests")
     }
 
     private fun setConnectionHeader(response: HttpResponse) {
@@ -341,7 +343,6 @@
      * most [LINGERING_CLOSE_TIME].
      */
     private fun closeAfterInput() {
-        channel.config().isAutoRead = true
         val socket = channel as? SocketChannel
         if (socket == null) {
             channel.close()
@@ -360,11 +361,8 @@
     private val limits: CallerLimits get() = traffic.limits
 
     private companion object {
-        /**
-         * Number of parts of pipelined requests from which on nothing more is read until the
-         * request before them has its response. A disconnect is not noticed meanwhile.
-         */
-        const val MAX_PIPELINED_MESSAGES = 64
+        /** How many of the largest bodies may wait for the request before them. */
+        const val PIPELINED_BODIES = 2
         val LINGERING_CLOSE_TIME = 1.seconds
 
         /** A body that takes longer is refused, whatever time its caller states. */
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallerConnectionTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallerConnectionTest.kt
@@ -16,6 +16,7 @@
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.CallerLimits
 import org.gypsumroute.api.ErrorKind
+import org.gypsumroute.api.Event
 import org.gypsumroute.api.Failure
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
@@ -73,6 +74,28 @@
         writer.join()
     }
 
+    /** Guards against pipelined requests that fill the memory, or are dropped without a word. */
+    @Test
+    fun `pipelined requests that do not fit are refused behind the ones that do`() {
+        fixture.setCallerLimits(strictLimits)
+        val caller = fixture.call(get("0"))
+        refuse(fixture.nextEvent())
+        caller.readMessage()
+        caller.write(get("1") + get("2").repeat(100))
+        var served = 0
+        while (true) {
+            val arrived = fixture.nextEvent<Event>() as? ForwardEvent.Arrived ?: break
+            served++
+            refuse(arrived)
+            assertContains(caller.readMessage(), "full")
+        }
+        assertTrue(served in 2..20, "$served")
+        val last = caller.readMessage()
+        assertTrue(last.startsWith("HTTP/1.1 503 "), last)
+        assertContains(last.lowercase(), "connection: close")
+        assertEquals("", caller.readAll())
+    }
+
     @Test
     fun `oversized headers and bodies are refused`() {
         fixture.setCallerLimits(strictLimits)
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallersGoneTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallersGoneTest.kt
@@ -91,6 +91,16 @@
         assertEquals(listOf("served", "served"), received.toList())
     }
 
+    /** Guards against a close that is not read, because nothing more of its caller is. */
+    @Test
+    fun `a caller that leaves is noticed, however many requests it has pipelined`() {
+        val caller = fixture.call(get("1") + get("2").repeat(PIPELINED_REQUESTS))
+        val first = fixture.nextEvent<ForwardEvent.Arrived>()
+        Thread.sleep(TrafficFixture.SETTLE_MILLISECONDS)
+        caller.close()
+        assertEquals(first.request, fixture.nextEvent<ForwardEvent.CallerLeft>().request)
+    }
+
     /** Guards against a request that the kernel delivers after its caller has left. */
     @Test
     fun `an endpoint that reads late does not get the rest of a request that was given up`() {
@@ -122,6 +132,7 @@
 
     private companion object {
         const val CALLERS = 8
+        const val PIPELINED_REQUESTS = 100
 
         /** Fits into the receive buffer of a socket, so that a close behind it gets through. */
         const val BODY_BYTES = 30_000
