Keep the pause that an endpoint asked for while its record is away

Cause: the same class as that of the leaving mark: what an endpoint stated of itself was kept in the state of its record, and a record that lapsed and came back, as around an outage of the store, began without it.

Evidence: EndpointPauseTest removes the record in a pause of 60 s and publishes it again. On the code before, the request was sent; now it is refused with the time that is left.

Change: pauses are kept by endpoint and start beside the records, as marks are, until the rate after them has grown. The check of GatewayPropertyTest reads the pause there and is as strict as before. What remains: the window of the last sends, by which the rate grows, still goes with the record.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
@@ -171,7 +171,7 @@
     endpoints[attempt.endpoint]?.let { endpoint ->
         val misdirected = outcome is AttemptOutcome.NotRun && outcome.misdirected
         // An endpoint that asks for a pause is in order, also if its refusal promises nothing.
-        val asksForPause = isPaused(endpoint, now) && !outcome.connectionLost
+        val asksForPause = isPaused(state, endpoint) && !outcome.connectionLost
         val updated = endpoint.copy(
             health = if (asksForPause) {
                 endpoint.health
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/Eligibility.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/Eligibility.kt
@@ -12,7 +12,7 @@
     endpoint: EndpointState
 ): Boolean = acceptsNewRequests(state, record, endpoint) &&
     endpoint.record.id !in record.triedEndpoints && coldLimitAllows(state, endpoint) &&
-    pauseAllows(endpoint, state.common.now)
+    pauseAllows(state, endpoint)
 
 /**
  * Whether the endpoint serves the request's service and is meant to get new requests, according to
@@ -35,7 +35,7 @@
     choice: ForwardChoice
 ): Boolean = (choice.helpers + choice.endpoint).all { id ->
     state.endpoints[id]?.let {
-        acceptsNewRequests(state, record, it) && !isPaused(it, state.common.now)
+        acceptsNewRequests(state, record, it) && !isPaused(state, it)
     } == true
 }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
@@ -13,11 +13,10 @@
  * One published endpoint and the work that this gateway has sent there.
  *
  * The endpoint is cold until [coldUntil], and [misdirected] once another endpoint answered at its
- * address. It asked for no requests of this gateway until [pausedUntil]. [work] holds the requests
- * of this gateway that are open there, and [unseenLoad] those that only the endpoint itself stated.
- * [backlog] estimates the unread prompts of all gateways. [totalPrefillSent] and
- * [totalHelperPrefillSent] add up the reading time that this gateway ever sent, for own prompts and
- * for parts that the endpoint reads as a helper.
+ * address. [work] holds the requests of this gateway that are open there, and [unseenLoad] those
+ * that only the endpoint itself stated. [backlog] estimates the unread prompts of all gateways.
+ * [totalPrefillSent] and [totalHelperPrefillSent] add up the reading time that this gateway ever
+ * sent, for own prompts and for parts that the endpoint reads as a helper.
  */
 data class EndpointState(
     val record: EndpointRecord,
@@ -26,7 +25,6 @@
     val health: EndpointHealth = EndpointHealth(),
     val recentSends: SendWindow = SendWindow(),
     val misdirected: Boolean = false,
-    val pausedUntil: Moment = Moment.START,
     val unseenLoad: UnseenLoad = UnseenLoad(),
     val backlog: Backlog = Backlog(),
     val totalPrefillSent: Duration = Duration.ZERO,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -104,7 +104,7 @@
 internal fun reducePeriodicReport(state: GatewayState): Step<GatewayState> =
     removeSilentMembers(state)
         .then { it.copy(crashes = it.crashes.withoutExpired(it.common.now)).step() }
-        .then { withoutOldMarks(it).step() }
+        .then { withoutOldPauses(withoutOldMarks(it)).step() }
         .then { sendReport(it) }
         .then { it.step(RuntimeEffect.SetTimer(TimerId.ReportBeat, REPORT_INTERVAL)) }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PauseReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PauseReducer.kt
@@ -26,12 +26,13 @@
     event: ForwardEvent.EndpointStated,
     pause: EndpointStatement.Pause
 ): Step<GatewayState> {
-    val endpoint = state.endpoints[event.endpoint] ?: return state.step()
+    val endpoint = state.endpoints[event.endpoint]
+    val known = state.pauses[event.endpoint]?.takeIf { it.startedAt == event.startedAt }
     val until = state.common.now + pause.time
-    val isOfOtherStart = endpoint.record.startedAt != event.startedAt
-    if (isOfOtherStart || until <= endpoint.pausedUntil) return state.step()
-    val paused = endpoint.copy(pausedUntil = until)
-    return state.copy(endpoints = state.endpoints.put(event.endpoint, paused)).step(
+    val isOfOtherStart = endpoint != null && endpoint.record.startedAt != event.startedAt
+    if (isOfOtherStart || (known != null && until <= known.until)) return state.step()
+    val paused = EndpointPause(event.startedAt, until)
+    return state.copy(pauses = state.pauses.put(event.endpoint, paused)).step(
         logEffect(
             LogEvent.ENDPOINT_PAUSES,
             "endpoint" to event.endpoint,
@@ -42,18 +43,35 @@
     )
 }
 
+/** Until when the endpoint wants nothing from this gateway; the start of time if it never said. */
+internal fun pausedUntil(state: GatewayState, endpoint: EndpointState): Moment {
+    val pause = state.pauses[endpoint.record.id]
+    return pause?.takeIf { it.startedAt == endpoint.record.startedAt }?.until ?: Moment.START
+}
+
 /** Whether the endpoint wants nothing from this gateway now. */
-internal fun isPaused(endpoint: EndpointState, now: Moment): Boolean = now < endpoint.pausedUntil
+internal fun isPaused(state: GatewayState, endpoint: EndpointState): Boolean =
+    state.common.now < pausedUntil(state, endpoint)
 
 /** Whether one more request fits into the rate that grows after a pause. */
-internal fun pauseAllows(endpoint: EndpointState, now: Moment): Boolean {
-    if (isPaused(endpoint, now)) return false
-    val elapsed = now - endpoint.pausedUntil
-    if (endpoint.pausedUntil == Moment.START || elapsed >= GROWTH_TIME) return true
+internal fun pauseAllows(state: GatewayState, endpoint: EndpointState): Boolean {
+    if (isPaused(state, endpoint)) return false
+    val now = state.common.now
+    val until = pausedUntil(state, endpoint)
+    val elapsed = now - until
+    if (until == Moment.START || elapsed >= GROWTH_TIME) return true
     val rate = FIRST_REQUESTS_PER_SECOND * GROWTH.pow(elapsed / GROWTH_STEP)
     return endpoint.recentSends.allows(now, rate)
 }
 
+/** Forgets pauses that are over, together with the time in which the rate grows after them. */
+internal fun withoutOldPauses(state: GatewayState): GatewayState {
+    val old = state.pauses.filterValues { state.common.now - it.until > GROWTH_TIME }
+    if (old.isEmpty()) return state
+    val left = state.pauses.builder().apply { keys.removeAll(old.keys) }
+    return state.copy(pauses = left.build())
+}
+
 /**
  * The time until the first endpoint that could serve the request wants requests again, or null if
  * one of them wants some now, or if there is none.
@@ -61,7 +79,7 @@
 internal fun timeUntilPauseEnds(state: GatewayState, record: ForwardRecord): Duration? {
     val now = state.common.now
     val serving = state.endpoints.values.filter { acceptsNewRequests(state, record, it) }
-    val firstEnd = serving.minOfOrNull { it.pausedUntil } ?: return null
+    val firstEnd = serving.minOfOrNull { pausedUntil(state, it) } ?: return null
     return (firstEnd - now).takeIf { it > Duration.ZERO }
 }
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/EndpointPauseTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/EndpointPauseTest.kt
@@ -119,6 +119,21 @@
         assertTrue(harness.state.crashes.isEmpty)
     }
 
+    /** Guards against a pause that is forgotten while the endpoint's record is away. */
+    @Test
+    fun `a record that lapses and comes back does not end a pause`() {
+        val harness = harnessOf("e1")
+        harness.statePause("e1", 60.seconds)
+        harness.feedChanges(PublishedRecord.EndpointRemoved(EndpointId("e1")))
+        harness.statePause("e1", 90.seconds)
+        harness.advance(5.seconds)
+        harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1")))
+        harness.arrive("1")
+        assertEquals(85.seconds, harness.refusals.single().failure.retryAfter)
+        harness.advance(100.seconds)
+        assertTrue(harness.state.pauses.isEmpty())
+    }
+
     @Test
     fun `a pause ends with the start of the endpoint that asked for it`() {
         val harness = harnessOf("e1")
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPropertyTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPropertyTest.kt
@@ -432,7 +432,10 @@
         val endpoint = harness.state.endpoints[id] ?: fail("seed $seed: sent to a removed endpoint")
         val record = endpoint.record
         check(!isLeaving(harness.state, endpoint), "sent to a leaving endpoint")
-        check(harness.now >= endpoint.pausedUntil, "sent to an endpoint that asked for a pause")
+        check(
+            harness.now >= pausedUntil(harness.state, endpoint),
+            "sent to an endpoint that asked for a pause"
+        )
         check(
             record.dataCentre !in harness.state.published.dataCentresOut,
             "sent to a data centre taken out"
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -98,10 +98,8 @@
         }
 
     /** Starts an endpoint; [receiveBufferBytes] bounds what it takes before it reads. */
-    fun endpoint(
-        script: (RawConnection) -> Unit,
-        receiveBufferBytes: Int?
-    ): StubEndpoint = StubEndpoint(script, receiveBufferBytes).also { openResources += it }
+    fun endpoint(script: (RawConnection) -> Unit, receiveBufferBytes: Int?): StubEndpoint =
+        StubEndpoint(script, receiveBufferBytes).also { openResources += it }
 
     fun endpoint(script: (RawConnection) -> Unit): StubEndpoint = endpoint(script, null)
 
