--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -225,12 +225,7 @@
         runCatching { String(input.readAllBytes(), Charsets.ISO_8859_1) }.getOrNull()
 
     /** Waits for the end of the connection; returns whether it is a reset without another byte. */
-    fun isReset(): Boolean = try {
-        input.read()
-        false
-    } catch (reset: SocketException) {
-        true
-    }
+    fun isReset(): Boolean = runCatching { input.read() }.exceptionOrNull() is SocketException
 
     /** Closes the connection so that the peer receives a reset. */
     fun reset() {
