Let a further statement of an endpoint move its leaving mark forward

Cause: a statement that named no later start than the known mark changed nothing, although a start that was not published yet can have made it, as long as this gateway's records are old.

Change: an own statement moves the latest start that can have made it forward; reports do not, since they repeat. LeavingMark merges statements itself, and start stamps are compared as such.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/LeavingMark.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/LeavingMark.kt
@@ -17,6 +17,23 @@
     val own: Boolean
 ) {
     /** Whether the start in a record leaves. A record without a start is not known to be newer. */
-    fun holdsFor(start: UnixTime?): Boolean =
-        start == null || start.milliseconds <= lastStart.milliseconds
+    fun holdsFor(start: UnixTime?): Boolean = start == null || start <= lastStart
+
+    /**
+     * The mark after another statement. The latest start counts, so that neither a report nor a
+     * late answer of an earlier one ends the mark. An own statement that names no later start may
+     * still come from one that is not published yet.
+     */
+    fun mergedWith(other: LeavingMark): LeavingMark {
+        val latest = maxOf(lastStart, other.lastStart)
+        return when {
+            startedAt.isBefore(other.startedAt) -> other.copy(lastStart = latest)
+            other.own -> copy(own = own || startedAt == other.startedAt, lastStart = latest)
+            else -> this
+        }
+    }
 }
+
+/** Whether a start is earlier than [other]; one that is not known is earlier than any other. */
+internal fun UnixTime?.isBefore(other: UnixTime?): Boolean =
+    other != null && (this == null || this < other)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
@@ -99,16 +99,12 @@
     val published = state.endpoints[id]?.record?.startedAt
     val lastStart = when {
         startedAt == null -> saidBefore
-        isBefore(startedAt, published) || isBefore(saidBefore, startedAt) -> startedAt
-        else -> saidBefore
+        startedAt.isBefore(published) -> startedAt
+        else -> maxOf(startedAt, saidBefore)
     }
     return LeavingMark(startedAt, statedAt, lastStart, own)
 }
 
-/**
- * Keeps the mark of the latest start. It holds for earlier ones too, so that neither a report of
- * another start nor a record with an earlier one ends it.
- */
 private fun markLeaving(
     state: GatewayState,
     id: EndpointId,
@@ -116,35 +112,31 @@
     source: String
 ): Step<GatewayState> {
     val known = state.leaving[id]
-    val isRepeated = known != null && known.startedAt == mark.startedAt
-    if (isRepeated && (known.own || !mark.own)) return state.step()
-    if (!isRepeated && known?.startedAt != null && !isBefore(known.startedAt, mark.startedAt)) {
-        return state.step(countOutdated(mark))
-    }
-    val next = when {
-        known == null -> mark
-        isRepeated -> known.copy(own = true)
-        else -> mark.copy(lastStart = laterOf(known.lastStart, mark.lastStart))
+    val next = known?.mergedWith(mark) ?: mark
+    val marked =
+        if (next == known) state else state.copy(leaving = state.leaving.put(id, next))
+    return when {
+        known?.startedAt != next.startedAt || known?.own != next.own -> marked.step(
+            believedLog(marked, id, next, source),
+            countBelieved(if (mark.own) StatementKind.LEAVING.code else "leaving_reported")
+        )
+
+        mark.startedAt != known?.startedAt -> marked.step(countOutdated(mark))
+
+        else -> marked.step()
     }
-    return state.copy(leaving = state.leaving.put(id, next)).step(
-        logEffect(
-            LogEvent.ENDPOINT_STATED_LEAVING,
-            "endpoint" to id,
-            "started_at" to mark.startedAt?.milliseconds,
-            "last_start" to next.lastStart.milliseconds,
-            "source" to source,
-            "age" to (state.common.now - mark.statedAt),
-            "published" to state.endpoints[id]?.record?.startedAt?.milliseconds
-        ),
-        countBelieved(if (mark.own) StatementKind.LEAVING.code else "leaving_reported")
-    )
 }
 
-private fun isBefore(start: UnixTime?, other: UnixTime?): Boolean =
-    start != null && other != null && start.milliseconds < other.milliseconds
-
-private fun laterOf(start: UnixTime, other: UnixTime): UnixTime =
-    if (isBefore(start, other)) other else start
+private fun believedLog(state: GatewayState, id: EndpointId, mark: LeavingMark, source: String) =
+    logEffect(
+        LogEvent.ENDPOINT_STATED_LEAVING,
+        "endpoint" to id,
+        "started_at" to mark.startedAt?.milliseconds,
+        "last_start" to mark.lastStart.milliseconds,
+        "source" to source,
+        "age" to (state.common.now - mark.statedAt),
+        "published" to state.endpoints[id]?.record?.startedAt?.milliseconds
+    )
 
 internal fun countBelieved(outcome: String) =
     RuntimeEffect.Count(Metric.STATEMENTS, MetricLabels(outcome = outcome))
