Keep pauses by the start of the endpoint that asked for them

Cause: one pause was kept for each id, so that the pause of another start took the place of one that still held when the record went back to its start.

Evidence: StatementPropertyTest, 20,000 seeds by hand, failed with seed 696: a request reached start 1 of e2 in its pause.

Change: pauses are kept under EndpointStart, the id and the start.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -9,7 +9,7 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.UnixTime
 import org.gypsumroute.core.gateway.CrashEvidence
-import org.gypsumroute.core.gateway.EndpointPause
+import org.gypsumroute.core.gateway.EndpointStart
 import org.gypsumroute.core.gateway.EndpointState
 import org.gypsumroute.core.gateway.ExchangeState
 import org.gypsumroute.core.gateway.ForwardRecord
@@ -23,7 +23,8 @@
  * endpoints of the published records.
  *
  * The process started at [startedAt]. [leaving] are the endpoints that stated that they leave, and
- * [pauses] those that want nothing from this gateway for some time; both outlive the records.
+ * [pauses] tells until when starts of endpoints want nothing from this gateway; both outlive the
+ * records.
  * [renewalTimerSet] tells whether a timer is set for the renewal of reservations. A planned stop
  * began at [drainStartedAt], accepts new requests until [acceptsUntil] and ends open requests at
  * [drainEndsAt]; all are null without one. [refusingNew] tells whether requests that wait for
@@ -41,7 +42,7 @@
     val retryBudgets: PersistentMap<ServiceId, RetryBudget> = persistentMapOf(),
     val crashes: CrashEvidence = CrashEvidence(),
     val leaving: PersistentMap<EndpointId, LeavingMark> = persistentMapOf(),
-    val pauses: PersistentMap<EndpointId, EndpointPause> = persistentMapOf(),
+    val pauses: PersistentMap<EndpointStart, Moment> = persistentMapOf(),
     val nextAttempt: Long = 1,
     val renewalTimerSet: Boolean = false,
     val drainStartedAt: Moment? = null,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PauseReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PauseReducer.kt
@@ -27,12 +27,12 @@
     pause: EndpointStatement.Pause
 ): Step<GatewayState> {
     val endpoint = state.endpoints[event.endpoint]
-    val known = state.pauses[event.endpoint]?.takeIf { it.startedAt == event.startedAt }
+    val start = EndpointStart(event.endpoint, event.startedAt)
+    val known = state.pauses[start] ?: Moment.START
     val until = state.common.now + pause.time
     val isOfOtherStart = endpoint != null && endpoint.record.startedAt != event.startedAt
-    if (isOfOtherStart || (known != null && until <= known.until)) return state.step()
-    val paused = EndpointPause(event.startedAt, until)
-    return state.copy(pauses = state.pauses.put(event.endpoint, paused)).step(
+    if (isOfOtherStart || until <= known) return state.step()
+    return state.copy(pauses = state.pauses.put(start, until)).step(
         logEffect(
             LogEvent.ENDPOINT_PAUSES,
             "endpoint" to event.endpoint,
@@ -44,10 +44,8 @@
 }
 
 /** Until when the endpoint wants nothing from this gateway; the start of time if it never said. */
-internal fun pausedUntil(state: GatewayState, endpoint: EndpointState): Moment {
-    val pause = state.pauses[endpoint.record.id]
-    return pause?.takeIf { it.startedAt == endpoint.record.startedAt }?.until ?: Moment.START
-}
+internal fun pausedUntil(state: GatewayState, endpoint: EndpointState): Moment =
+    state.pauses[EndpointStart(endpoint.record.id, endpoint.record.startedAt)] ?: Moment.START
 
 /** Whether the endpoint wants nothing from this gateway now. */
 internal fun isPaused(state: GatewayState, endpoint: EndpointState): Boolean =
@@ -66,7 +64,7 @@
 
 /** Forgets pauses that are over, together with the time in which the rate grows after them. */
 internal fun withoutOldPauses(state: GatewayState): GatewayState {
-    val old = state.pauses.filterValues { state.common.now - it.until > GROWTH_TIME }
+    val old = state.pauses.filterValues { state.common.now - it > GROWTH_TIME }
     if (old.isEmpty()) return state
     val left = state.pauses.builder().apply { keys.removeAll(old.keys) }
     return state.copy(pauses = left.build())
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StatementPropertyTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StatementPropertyTest.kt
@@ -21,10 +21,12 @@
     /** Guards against requests to endpoints that stated that they leave, or asked for a pause. */
     @Test
     fun `no sequence of records and reports lets requests pass a statement`() {
-        repeat(SEEDS) { seed -> StatementRun(seed).run(STEPS) }
+        (KEPT_SEEDS + (0 until SEEDS)).forEach { seed -> StatementRun(seed).run(STEPS) }
     }
 
     private companion object {
+        /** Seeds that failed once. */
+        val KEPT_SEEDS = listOf(2, 696)
         val SEEDS = Integer.getInteger("statement.seeds", 300)
         const val STEPS = 120
     }
