--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/LeavingStage.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CallerLeftStage.kt
@@ -1,7 +1,7 @@
 package org.gypsumroute.core.gateway
 
 /** How far a request was when its caller closed the connection. */
-internal enum class LeavingStage(val code: String) {
+internal enum class CallerLeftStage(val code: String) {
     /** The caller's close was read together with the request, which was not passed on. */
     UNREAD("unread"),
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
@@ -55,7 +55,7 @@
 )
 
 /** Counts a caller that left before its answer was complete. */
-internal fun countCallerLeft(stage: LeavingStage): Effect =
+internal fun countCallerLeft(stage: CallerLeftStage): Effect =
     RuntimeEffect.Count(Metric.CALLERS_LEFT, MetricLabels(outcome = stage.code))
 
 /** Counts bytes of an endpoint that belong to no open request. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
@@ -109,17 +109,17 @@
     logEffect(
         LogEvent.CALLER_LEFT,
         "request" to event.head.callerRequestId,
-        "stage" to LeavingStage.UNREAD.code
+        "stage" to CallerLeftStage.UNREAD.code
     ),
-    countCallerLeft(LeavingStage.UNREAD)
+    countCallerLeft(CallerLeftStage.UNREAD)
 )
 
 internal fun reduceCallerLeft(state: GatewayState, request: RequestId): Step<GatewayState> {
     val record = state.requests[request] ?: return state.step()
     val stage = when {
-        record.answerStarted -> LeavingStage.ANSWERED_IN_PART
-        record.openAttempts.isNotEmpty() -> LeavingStage.SENT
-        else -> LeavingStage.WAITING
+        record.answerStarted -> CallerLeftStage.ANSWERED_IN_PART
+        record.openAttempts.isNotEmpty() -> CallerLeftStage.SENT
+        else -> CallerLeftStage.WAITING
     }
     return closeRequest(state, record, ErrorKind.CALLER_LEFT.code).andThen(
         logEffect(
