--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -24,10 +24,11 @@
  *
  * The process started at [startedAt]. [leaving] are the endpoints that stated that they leave, and
  * [pauses] tells until when starts of endpoints want nothing from this gateway; both outlive the
- * records. [renewalTimerSet] tells whether a timer is set for the renewal of reservations. A planned
- * stop began at [drainStartedAt], accepts new requests until [acceptsUntil] and ends open requests
- * at [drainEndsAt]; all are null without one. [refusingNew] tells whether requests that wait for
- * memory were refused as well.
+ * records. [renewalTimerSet] tells whether a timer is set for the renewal of reservations.
+ *
+ * A planned stop began at [drainStartedAt], accepts new requests until [acceptsUntil] and ends open
+ * requests at [drainEndsAt]; all are null without one. [refusingNew] tells whether requests that
+ * wait for memory were refused as well.
  */
 data class GatewayState(
     override val common: CommonState,
