--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PauseReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PauseReducer.kt
@@ -53,9 +53,9 @@
 
 /** Whether one more request fits into the rate that grows after a pause. */
 internal fun pauseAllows(state: GatewayState, endpoint: EndpointState): Boolean {
-    if (isPaused(state, endpoint)) return false
     val now = state.common.now
     val until = pausedUntil(state, endpoint)
+    if (now < until) return false
     val elapsed = now - until
     if (until == Moment.START || elapsed >= GROWTH_TIME) return true
     val rate = FIRST_REQUESTS_PER_SECOND * GROWTH.pow(elapsed / GROWTH_STEP)
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/PlannedStopTrafficTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/PlannedStopTrafficTest.kt
@@ -67,9 +67,10 @@
         refuse(fixture.nextEvent())
         caller.readMessage()
         fixture.traffic.drain()
-        fixture.occupyLoop()
-        fixture.execute(ForwardEffect.CloseIdleCallers)
-        caller.write(get("2"))
+        fixture.whileLoopIsOccupied {
+            fixture.execute(ForwardEffect.CloseIdleCallers)
+            caller.write(get("2"))
+        }
         refuse(fixture.nextEvent())
         assertContains(caller.readMessage().lowercase(), "connection: close")
         assertEquals("", caller.readAll())
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
@@ -72,10 +72,6 @@
         loop.submit { }.sync()
     }
 
-    /** Occupies the event loop for [time], so that input that arrives meanwhile stays unread. */
-    fun occupyLoop(time: Duration = 200.milliseconds) =
-        loop.execute { Thread.sleep(time.inWholeMilliseconds) }
-
     /** Runs [action] while the event loop is occupied, so that all its input stays unread. */
     fun whileLoopIsOccupied(action: () -> Unit) {
         val occupied = CountDownLatch(1)
