Log every failed read of the store, the changes read, and retained endpoints

Only the first failure of a series of reads was logged, without the silence before it; nothing said which revision the lines about endpoints rest on, so that a revision that goes back could not be seen; and an endpoint whose record is gone was retained without a line.

2023 changes_read (revision before and after), 2024 read_failed (failures in a row, silence, revision that stays in force), 2025 endpoint_retained, and a histogram of the time between two answers of the store. No decision changes.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
@@ -13,6 +13,10 @@
     DOCUMENTS("gypsumroute_documents_accepted_total", "Service documents accepted"),
     ATTEMPTS("gypsumroute_attempts_total", "Attempts of gateways at endpoints, by outcome"),
     STORE_READS("gypsumroute_store_reads_total", "Reads of published records, by outcome"),
+    STORE_SILENCE(
+        "gypsumroute_store_silence_seconds",
+        "Time between two answers of the store to reads of published records"
+    ),
     REPORTS_REJECTED(
         "gypsumroute_reports_rejected_total",
         "Datagrams of other gateways that could not be used"
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -13,6 +13,8 @@
 import org.gypsumroute.api.EndpointRecord
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.Metric
+import org.gypsumroute.api.MetricLabels
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
@@ -36,6 +38,7 @@
             }
 
         is PublishedEvent.ChangesRead -> noteStoreAnswer(state)
+            .then { logChanges(it, event) }
             .then { applyChanges(it, event.revision, event.changes) }
             .then { if (event.changes.isEmpty()) readNextChanges(it) else readLater(it) }
 
@@ -158,6 +161,18 @@
         }
 }
 
+private fun logChanges(state: GatewayState, event: PublishedEvent.ChangesRead): Step<GatewayState> {
+    if (event.changes.isEmpty()) return state.step()
+    return state.step(
+        logEffect(
+            LogEvent.CHANGES_READ,
+            "before" to state.published.revision,
+            "revision" to event.revision,
+            "changes" to event.changes.size
+        )
+    )
+}
+
 private fun applyChanges(
     state: GatewayState,
     revision: Revision,
@@ -246,7 +261,13 @@
     val published = state.published
     return if (state.common.now < published.lapsedRetainedUntil && !isLeaving(state, endpoint)) {
         val lapsed = published.lapsedEndpoints.add(id)
-        state.copy(published = published.copy(lapsedEndpoints = lapsed)).step()
+        state.copy(published = published.copy(lapsedEndpoints = lapsed)).step(
+            logEffect(
+                LogEvent.ENDPOINT_RETAINED,
+                "endpoint" to id,
+                "for" to (published.lapsedRetainedUntil - state.common.now)
+            )
+        )
     } else {
         state.copy(
             endpoints = state.endpoints.remove(id),
@@ -286,10 +307,11 @@
     val now = state.common.now
     val silence = now - published.lastReadAt
     val answered = state.copy(published = published.copy(failedReads = 0, lastReadAt = now))
+        .step(RuntimeEffect.Observe(Metric.STORE_SILENCE, MetricLabels(), silence.toSeconds()))
     val isOutage = published.revision != Revision.NONE &&
         (!published.storeReachable || silence > MAX_SILENCE_WITHOUT_OUTAGE)
-    if (!isOutage) return answered.step()
-    return answered.step(logEffect(LogEvent.STORE_REGAINED, "silent" to silence))
+    if (!isOutage) return answered
+    return answered.then { it.step(logEffect(LogEvent.STORE_REGAINED, "silent" to silence)) }
         .then { if (silence < it.bounds.endpointLapseTime) it.step() else retainLapsed(it) }
 }
 
@@ -317,8 +339,16 @@
         published.storeReachable -> LogEvent.STORE_LOST
         else -> null
     }
-    val failed = state.copy(published = next)
-        .step(RuntimeEffect.SetTimer(TimerId.PublishedRead, wait))
+    val failed = state.copy(published = next).step(
+        RuntimeEffect.SetTimer(TimerId.PublishedRead, wait),
+        logEffect(
+            LogEvent.READ_FAILED,
+            "failures" to failedReads,
+            "silent" to (state.common.now - published.lastReadAt),
+            "revision" to published.revision,
+            "cause" to event.cause
+        )
+    )
     return if (log == null) {
         failed
     } else {
