--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEvent.kt
@@ -5,28 +5,45 @@
  * that operators took out of service.
  */
 sealed interface PublishedEvent : Event {
-    /**
-     * All records as of [revision], which replace those known before. [from] is the gateway that
-     * they were read from, or null for the store.
-     */
+    /** A result of the [read] of the store. */
+    sealed interface OfStore : PublishedEvent {
+        val read: ReadId
+    }
+
+    /** All records as of [revision], which replace those known before. */
     data class SnapshotRead(
-        val from: HostId?,
+        override val read: ReadId,
         val revision: Revision,
         val records: List<PublishedRecord>
-    ) : PublishedEvent
+    ) : OfStore
 
     /** The records that changed after the requested revision, up to [revision]. */
-    data class ChangesRead(val revision: Revision, val changes: List<PublishedRecord>) :
-        PublishedEvent
+    data class ChangesRead(
+        override val read: ReadId,
+        val revision: Revision,
+        val changes: List<PublishedRecord>
+    ) : OfStore
 
     /** The store no longer holds the changes after the requested revision. */
-    data object HistoryLost : PublishedEvent
+    data class HistoryLost(override val read: ReadId) : OfStore
 
     /**
-     * A read failed. [from] is the gateway that was asked, or null for the store. If the store
-     * answered and the answer could not be read, [repeatable] is false: the same read would get the
-     * same answer again, or a longer one.
+     * A read failed. If the store answered and the answer could not be read, [repeatable] is false:
+     * the same read would get the same answer again, or a longer one.
      */
-    data class ReadFailed(val from: HostId?, val cause: String, val repeatable: Boolean = true) :
-        PublishedEvent
+    data class ReadFailed(
+        override val read: ReadId,
+        val cause: String,
+        val repeatable: Boolean = true
+    ) : OfStore
+
+    /** All records that the gateway [peer] holds, as of [revision]. */
+    data class PeerRecordsRead(
+        val peer: HostId,
+        val revision: Revision,
+        val records: List<PublishedRecord>
+    ) : PublishedEvent
+
+    /** The records of the gateway [peer] could not be read. */
+    data class PeerReadFailed(val peer: HostId, val cause: String) : PublishedEvent
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
@@ -66,10 +66,10 @@
     Metric.STORE_READS,
     MetricLabels(
         outcome = when (event) {
-            is PublishedEvent.SnapshotRead -> "snapshot"
+            is PublishedEvent.SnapshotRead, is PublishedEvent.PeerRecordsRead -> "snapshot"
             is PublishedEvent.ChangesRead -> "changes"
             is PublishedEvent.HistoryLost -> "history_lost"
-            is PublishedEvent.ReadFailed -> "failed"
+            is PublishedEvent.ReadFailed, is PublishedEvent.PeerReadFailed -> "failed"
         }
     )
 )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayRecovery.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayRecovery.kt
@@ -105,19 +105,16 @@
 }
 
 /** Reads again later, as after a read that failed. */
-private fun recoverRead(state: GatewayState, event: PublishedEvent): Step<GatewayState> {
-    val from = when (event) {
-        is PublishedEvent.SnapshotRead -> event.from
-        is PublishedEvent.ReadFailed -> event.from
-        is PublishedEvent.ChangesRead, is PublishedEvent.HistoryLost -> null
-    }
-    return if (from == null) {
+private fun recoverRead(state: GatewayState, event: PublishedEvent): Step<GatewayState> =
+    if (event is PublishedEvent.OfStore) {
         val cause = "the records could not be applied"
-        reduceReadFailed(state, PublishedEvent.ReadFailed(null, cause, repeatable = false))
+        reduceReadFailed(
+            state,
+            PublishedEvent.ReadFailed(event.read, cause, repeatable = false)
+        )
     } else {
         notePeerAnswer(state).step()
     }
-}
 
 private fun requestOf(event: ForwardEvent): RequestId? = when (event) {
     is ForwardEvent.AttemptStalled -> event.request
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -8,7 +8,6 @@
 import org.gypsumroute.api.ExchangeEvent
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.LogEvent
-import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.ReservationEvent
 import org.gypsumroute.api.RuntimeEffect
@@ -58,14 +57,13 @@
         "role" to state.common.node.role,
         "incarnation" to state.common.node.incarnation,
         "data_centre" to state.common.node.dataCentre
-    ),
-    PublishedEffect.ReadSnapshot
-).then { reducePeriodicReport(it) }
+    )
+).then { startRead(it) }.then { reducePeriodicReport(it) }
 
 private fun reduceGatewayTimer(state: GatewayState, timer: TimerId): Step<GatewayState> =
     when (timer) {
         is TimerId.ForwardDeadline -> reduceForwardDeadline(state, timer.request)
-        is TimerId.PublishedRead -> readNextChanges(state)
+        is TimerId.PublishedRead -> startRead(state)
         is TimerId.EndpointReturn -> removeLapsedEndpoints(state)
         is TimerId.ReservationRenewal -> renewReservations(state)
         is TimerId.ReportBeat -> reducePeriodicReport(state)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -4,24 +4,13 @@
  */
 package org.gypsumroute.core.gateway
 
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlinx.collections.immutable.persistentSetOf
 import org.gypsumroute.api.DataCentreId
-import org.gypsumroute.api.EndpointId
-import org.gypsumroute.api.EndpointRecord
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.LogEvent
-import org.gypsumroute.api.Metric
-import org.gypsumroute.api.MetricLabels
-import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.Revision
-import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
-import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
@@ -30,111 +19,50 @@
 
 internal fun reducePublished(state: GatewayState, event: PublishedEvent): Step<GatewayState> =
     when (event) {
-        is PublishedEvent.SnapshotRead ->
-            if (event.from == null) {
-                reduceSnapshot(state, event)
-            } else {
-                reducePeerSnapshot(state, event)
-            }
+        is PublishedEvent.SnapshotRead -> reduceSnapshot(state, event)
 
         is PublishedEvent.ChangesRead -> noteStoreAnswer(state)
             .then { logChanges(it, event) }
             .then { applyChanges(it, event.revision, event.changes) }
-            .then { if (event.changes.isEmpty()) readNextChanges(it) else readLater(it) }
+            .then { if (event.changes.isEmpty()) startRead(it) else readLater(it) }
 
         is PublishedEvent.HistoryLost ->
-            state.step(logEffect(LogEvent.HISTORY_LOST), PublishedEffect.ReadSnapshot)
+            state.step(logEffect(LogEvent.HISTORY_LOST)).then { startFullRead(it) }
 
         is PublishedEvent.ReadFailed ->
-            if (event.from == null) {
-                reduceReadFailed(state, event).then { readFromPeerIfNewer(it) }
-            } else {
-                notePeerAnswer(state).step(
-                    logEffect(
-                        LogEvent.PEER_RECORDS_FAILED,
-                        "member" to event.from,
-                        "cause" to event.cause
-                    )
-                )
-            }
-    }
-
-/**
- * Reads the records of the gateway with the latest revision if that is later than this gateway's,
- * while the store does not answer or has not yet provided a routing table.
- */
-internal fun readFromPeerIfNewer(state: GatewayState): Step<GatewayState> {
-    val published = state.published
-    if (published.peerReadPending || (published.storeReachable && published.table != null)) {
-        return state.step()
-    }
-    val (address, member) = state.exchange.members.entries
-        .maxByOrNull { it.value.report.revision }
-        ?.takeIf { it.value.report.revision > published.revision } ?: return state.step()
-    return state.copy(published = published.copy(peerReadPending = true))
-        .step(PublishedEffect.ReadFromPeer(member.report.host, address))
-}
-
-private fun reducePeerSnapshot(
-    state: GatewayState,
-    event: PublishedEvent.SnapshotRead
-): Step<GatewayState> {
-    val noted = notePeerAnswer(state)
-    if (event.revision <= noted.published.revision) return noted.step()
-    return applySnapshot(noted, event)
-}
+            reduceReadFailed(state, event).then { readFromPeerIfNewer(it) }
 
-internal fun notePeerAnswer(state: GatewayState): GatewayState =
-    state.copy(published = state.published.copy(peerReadPending = false))
+        is PublishedEvent.PeerRecordsRead -> reducePeerRecords(state, event)
 
-/**
- * Requests the changes after the known revision, or all records if none is known or these changes
- * cannot be read.
- */
-internal fun readNextChanges(state: GatewayState): Step<GatewayState> {
-    val published = state.published
-    return state.step(
-        if (published.revision == Revision.NONE || published.changesUnreadable) {
-            PublishedEffect.ReadSnapshot
-        } else {
-            PublishedEffect.WatchChanges(published.revision, WATCH_WAIT)
-        }
-    )
-}
-
-/**
- * Requests the next changes after a wait, so that changes in quick succession arrive together. The
- * wait grows with the number of gateways, which all make the same calls to the store.
- */
-private fun readLater(state: GatewayState): Step<GatewayState> {
-    val wait = (READ_SPACING_PER_GATEWAY * state.gatewayCount).coerceAtMost(MAX_READ_SPACING)
-    return state.step(RuntimeEffect.SetTimer(TimerId.PublishedRead, wait))
-}
+        is PublishedEvent.PeerReadFailed -> reducePeerReadFailed(state, event)
+    }
 
 private fun reduceSnapshot(
     state: GatewayState,
     event: PublishedEvent.SnapshotRead
 ): Step<GatewayState> {
-    if (event.revision < state.published.revision) {
-        val published = state.published.copy(changesUnreadable = false)
-        return readNextChanges(state.copy(published = published))
-    }
-    return noteStoreAnswer(state).then { applySnapshot(it, event) }.then { readNextChanges(it) }
+    if (event.revision < state.published.revision) return startRead(withReadableChanges(state))
+    return noteStoreAnswer(state)
+        .then { applySnapshot(it, "store", event.revision, event.records) }
+        .then { startRead(it) }
 }
 
-private fun applySnapshot(
+/** Replaces all records by those of a full read [from] the store or another gateway. */
+internal fun applySnapshot(
     state: GatewayState,
-    event: PublishedEvent.SnapshotRead
-): Step<GatewayState> = removeUnlisted(state, event.records)
-    .then { applyChanges(it, event.revision, event.records) }
+    from: String,
+    revision: Revision,
+    records: List<PublishedRecord>
+): Step<GatewayState> = removeUnlisted(state, records)
+    .then { applyChanges(it, revision, records) }
     .then { if (state.published.revision == Revision.NONE) beginCautiously(it) else it.step() }
     .then {
         it.step(
             logEffect(
                 LogEvent.RECORDS_READ,
-                "from" to (event.from ?: "store"),
-                "revision" to event.revision,
-                "records" to event.records.size,
+                "from" to from,
+                "revision" to revision,
+                "records" to records.size,
                 "endpoints" to it.endpoints.size
             )
         )
@@ -179,10 +107,8 @@
     records: List<PublishedRecord>
 ): Step<GatewayState> = state.step()
     .thenEach(records) { next, record -> applyRecord(next, record) }
-    .then {
-        val published = it.published.copy(revision = revision, changesUnreadable = false)
-        it.copy(published = published).step()
-    }
+    .then { it.copy(published = it.published.copy(revision = revision)).step() }
+    .then { withReadableChanges(it).step() }
 
 private fun applyRecord(state: GatewayState, record: PublishedRecord): Step<GatewayState> =
     when (record) {
@@ -230,63 +156,6 @@
     }
 }
 
-private fun putEndpoint(state: GatewayState, record: EndpointRecord): Step<GatewayState> {
-    val previous = state.endpoints[record.id]
-    val restarted = previous != null && previous.record.startedAt != record.startedAt
-    val coldUntil = state.common.now + record.coldRemaining
-    val next = if (previous == null || restarted) {
-        EndpointState(record, coldUntil)
-    } else {
-        previous.copy(record = record, coldUntil = coldUntil, misdirected = false)
-    }
-    val event = when {
-        previous == null -> LogEvent.ENDPOINT_ADDED
-        restarted -> LogEvent.ENDPOINT_REBORN
-        record.leaving && !previous.record.leaving -> LogEvent.ENDPOINT_LEAVING
-        else -> null
-    }
-    val lapsed = state.published.lapsedEndpoints.remove(record.id)
-    val published = state.published.copy(lapsedEndpoints = lapsed)
-    val changed =
-        state.copy(endpoints = state.endpoints.put(record.id, next), published = published)
-    return if (event == null) changed.step() else changed.step(endpointLog(event, record))
-}
-
-/**
- * Removes an endpoint. Around an outage of the store, records of live endpoints lapse too until
- * those endpoints register again, so lapsed endpoints are retained until the time for that is over.
- */
-private fun removeEndpoint(state: GatewayState, id: EndpointId): Step<GatewayState> {
-    val endpoint = state.endpoints[id] ?: return state.step()
-    val published = state.published
-    return if (state.common.now < published.lapsedRetainedUntil && !isLeaving(state, endpoint)) {
-        val lapsed = published.lapsedEndpoints.add(id)
-        state.copy(published = published.copy(lapsedEndpoints = lapsed)).step(
-            logEffect(
-                LogEvent.ENDPOINT_RETAINED,
-                "endpoint" to id,
-                "for" to (published.lapsedRetainedUntil - state.common.now)
-            )
-        )
-    } else {
-        state.copy(
-            endpoints = state.endpoints.remove(id),
-            published = published.copy(lapsedEndpoints = published.lapsedEndpoints.remove(id))
-        ).step(
-            endpointLog(LogEvent.ENDPOINT_REMOVED, endpoint.record),
-            ForwardEffect.CloseConnections(endpoint.record.address)
-        )
-    }
-}
-
-/** Ends the time in which lapsed endpoints are retained, and removes those still lapsed. */
-internal fun removeLapsedEndpoints(state: GatewayState): Step<GatewayState> {
-    val published = state.published
-    val next = state.copy(published = published.copy(lapsedRetainedUntil = state.common.now))
-    return next.step()
-        .thenEach(published.lapsedEndpoints) { current, id -> removeEndpoint(current, id) }
-}
-
 private fun takeDataCentreOut(state: GatewayState, dataCentre: DataCentreId): Step<GatewayState> {
     if (dataCentre in state.published.dataCentresOut) return state.step()
     val out = state.published.dataCentresOut.add(dataCentre)
@@ -300,86 +169,3 @@
     return state.copy(published = state.published.copy(dataCentresOut = out))
         .step(logEffect(LogEvent.DATA_CENTRE_BACK, "data_centre" to dataCentre))
 }
-
-/** Records that the store answered. */
-private fun noteStoreAnswer(state: GatewayState): Step<GatewayState> {
-    val published = state.published
-    val now = state.common.now
-    val silence = now - published.lastReadAt
-    val answered = state.copy(published = published.copy(failedReads = 0, lastReadAt = now))
-        .step(RuntimeEffect.Observe(Metric.STORE_SILENCE, MetricLabels(), silence.toSeconds()))
-    val isOutage = published.revision != Revision.NONE &&
-        (!published.storeReachable || silence > MAX_SILENCE_WITHOUT_OUTAGE)
-    if (!isOutage) return answered
-    return answered.then { it.step(logEffect(LogEvent.STORE_REGAINED, "silent" to silence)) }
-        .then { if (silence < it.bounds.endpointLapseTime) it.step() else retainLapsed(it) }
-}
-
-/** After an outage in which records can have lapsed, lets their endpoints register again. */
-private fun retainLapsed(state: GatewayState): Step<GatewayState> {
-    val wait = state.bounds.endpointGracePeriod
-    val retainedUntil = state.common.now + wait
-    return state.copy(published = state.published.copy(lapsedRetainedUntil = retainedUntil))
-        .step(RuntimeEffect.SetTimer(TimerId.EndpointReturn, wait))
-}
-
-internal fun reduceReadFailed(
-    state: GatewayState,
-    event: PublishedEvent.ReadFailed
-): Step<GatewayState> {
-    val published = state.published
-    val failedReads = published.failedReads + 1
-    val wait = (READ_BACKOFF_STEP * failedReads).coerceAtMost(MAX_READ_BACKOFF)
-    val next = published.copy(
-        failedReads = failedReads,
-        changesUnreadable = published.changesUnreadable || !event.repeatable
-    )
-    val log = when {
-        next.changesUnreadable && !published.changesUnreadable -> LogEvent.CHANGES_UNREADABLE
-        published.storeReachable -> LogEvent.STORE_LOST
-        else -> null
-    }
-    val failed = state.copy(published = next).step(
-        RuntimeEffect.SetTimer(TimerId.PublishedRead, wait),
-        logEffect(
-            LogEvent.READ_FAILED,
-            "failures" to failedReads,
-            "silent" to (state.common.now - published.lastReadAt),
-            "revision" to published.revision,
-            "cause" to event.cause
-        )
-    )
-    return if (log == null) {
-        failed
-    } else {
-        failed.then { it.step(logEffect(log, "cause" to event.cause)) }
-    }
-}
-
-private fun endpointLog(event: LogEvent, record: EndpointRecord) = logEffect(
-    event,
-    "endpoint" to record.id,
-    "service" to record.service,
-    "address" to record.address,
-    "endpoint_start" to record.startedAt?.milliseconds,
-    "endpoint_data_centre" to record.dataCentre,
-    "cold_for" to record.coldRemaining
-)
-
-/**
- * How long the store may wait for changes before it answers. Also the longest time for which an
- * unresponsive connection to the store goes unnoticed.
- */
-private val WATCH_WAIT: Duration = 1500.milliseconds
-
-private val READ_SPACING_PER_GATEWAY: Duration = 10.milliseconds
-
-/** A small part of the time within which a change has to be in force. */
-private val MAX_READ_SPACING: Duration = 400.milliseconds
-
-/** A longer time between answers of the store counts as an outage. */
-private val MAX_SILENCE_WITHOUT_OUTAGE: Duration = 3.seconds
-
-/** The wait before the next read grows by this with each failed read in a row. */
-private val READ_BACKOFF_STEP: Duration = 100.milliseconds
-private val MAX_READ_BACKOFF: Duration = 500.milliseconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedState.kt
@@ -9,27 +9,22 @@
 import org.gypsumroute.api.RoutingTable
 
 /**
- * The published records as read so far, except the endpoints.
+ * The published records as read so far, except the endpoints, and the [reads] of the store.
  *
- * [failedReads] counts the reads of the store that failed since the last successful one, at
- * [lastReadAt]. [changesUnreadable] tells whether the changes after [revision] could not be read,
- * so that all records are read instead. [peerReadPending] tells whether a read from another gateway
- * is in progress.
- * Records of [lapsedEndpoints] were removed around an outage of the store; these endpoints are
- * retained until [lapsedRetainedUntil], so that they can register again.
+ * [peerReadPending] tells whether a read from another gateway is in progress. Records of
+ * [lapsedEndpoints] were removed around an outage of the store; these endpoints are retained until
+ * [lapsedRetainedUntil], so that they can register again.
  */
 data class PublishedState(
     val revision: Revision = Revision.NONE,
     val table: RoutingTable? = null,
     val routes: RouteIndex = RouteIndex.EMPTY,
     val dataCentresOut: PersistentSet<DataCentreId> = persistentSetOf(),
-    val failedReads: Int = 0,
-    val changesUnreadable: Boolean = false,
+    val reads: StoreReads = StoreReads(),
     val peerReadPending: Boolean = false,
-    val lastReadAt: Moment = Moment.START,
     val lapsedEndpoints: PersistentSet<EndpointId> = persistentSetOf(),
     val lapsedRetainedUntil: Moment = Moment.START
 ) {
     /** Whether the latest read of the store succeeded. */
-    val storeReachable: Boolean get() = failedReads == 0
+    val storeReachable: Boolean get() = reads.failures == 0
 }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayExtremesTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayExtremesTest.kt
@@ -60,7 +60,13 @@
 
     fun run(steps: Int) {
         feed(RuntimeEvent.Started)
-        feed(PublishedEvent.SnapshotRead(null, Revision(revision), extremes.allRecords()))
+        feed(
+            PublishedEvent.SnapshotRead(
+                harness.latestRead,
+                Revision(revision),
+                extremes.allRecords()
+            )
+        )
         repeat(steps) {
             feed(randomEvent())
             if (random.nextInt(4) == 0) advance(extremes.duration(LONGEST_ADVANCE))
@@ -102,9 +108,17 @@
 
         in 5..7 -> attemptEvent()
 
-        8 -> PublishedEvent.ChangesRead(Revision(++revision), extremes.someRecords())
-
-        9 -> PublishedEvent.SnapshotRead(null, Revision(++revision), extremes.allRecords())
+        8 -> PublishedEvent.ChangesRead(
+            harness.latestRead,
+            Revision(++revision),
+            extremes.someRecords()
+        )
+
+        9 -> PublishedEvent.SnapshotRead(
+            harness.latestRead,
+            Revision(++revision),
+            extremes.allRecords()
+        )
 
         10, 11 -> extremes.statement()
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -32,6 +32,7 @@
 import org.gypsumroute.api.OrganisationKeys
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
+import org.gypsumroute.api.ReadId
 import org.gypsumroute.api.RegionId
 import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.RequestHead
@@ -153,7 +154,7 @@
         revision: Long = state.published.revision.value + 1
     ): List<Effect> = feed(
         PublishedEvent.SnapshotRead(
-            null,
+            latestRead,
             Revision(revision),
             listOfNotNull(table?.let { PublishedRecord.Table(it) }) +
                 endpoints.map { PublishedRecord.Endpoint(it) }
@@ -162,9 +163,19 @@
 
     /** Feeds changed records of the next revision. */
     fun feedChanges(vararg records: PublishedRecord): List<Effect> = feed(
-        PublishedEvent.ChangesRead(state.published.revision.next(), records.asList())
+        PublishedEvent.ChangesRead(latestRead, state.published.revision.next(), records.asList())
     )
 
+    /** The read of the store that was started last. */
+    val latestRead: ReadId get() = state.published.reads.latest
+
+    /** Feeds the failure of the latest read. */
+    fun failRead(cause: String = "503", repeatable: Boolean = true): List<Effect> =
+        feed(PublishedEvent.ReadFailed(latestRead, cause, repeatable))
+
+    /** Feeds that the store dropped its history. */
+    fun loseHistory(): List<Effect> = feed(PublishedEvent.HistoryLost(latestRead))
+
     /** Feeds the arrival of a request. */
     fun arrive(request: String, head: RequestHead = headOf("/plain/x")): List<Effect> =
         feed(ForwardEvent.Arrived(RequestId(request), head, Bytes(0)))
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayRecoveryTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayRecoveryTest.kt
@@ -15,7 +15,6 @@
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.PublishedEffect
-import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.ReservationEffect
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.RuntimeEffect
@@ -94,7 +93,7 @@
     @Test
     fun `records are read again after a read whose reduction failed`() {
         reductionFails = true
-        harness.feed(PublishedEvent.HistoryLost)
+        harness.loseHistory()
         reductionFails = false
         harness.advance(1.seconds)
         assertEquals(1, harness.effects.filterIsInstance<PublishedEffect>().size)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/LeavingMarkTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/LeavingMarkTest.kt
@@ -19,7 +19,6 @@
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.LogEvent
-import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.ReportedLeaving
 import org.gypsumroute.api.RequestId
@@ -115,7 +114,7 @@
     fun `no record of the same start allows it again`() {
         val harness = twoEndpoints()
         harness.stateLeaving("e1")
-        harness.feed(PublishedEvent.ReadFailed(null, "503"))
+        harness.failRead()
         assertEquals(setOf("e2"), harness.used())
         harness.feedSnapshot(sampleTable, listOf(endpointOf("e1"), endpointOf("e2")))
         assertEquals(setOf("e2"), harness.used())
@@ -203,7 +202,7 @@
     @Test
     fun `it is removed at once with its record also after an outage`() {
         val harness = twoEndpoints()
-        harness.feed(PublishedEvent.ReadFailed(null, "503"))
+        harness.failRead()
         harness.stateLeaving("e1")
         harness.feedSnapshot(sampleTable, listOf(endpointOf("e2")))
         assertFalse(EndpointId("e1") in harness.state.endpoints)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
@@ -17,8 +17,6 @@
 import org.gypsumroute.api.TableVersion
 
 class PublishedReducerTest {
-    private val storeFailure = PublishedEvent.ReadFailed(null, "503")
-
     private fun GatewayHarness.knownEndpoints() = state.endpoints.keys.map { it.value }.toSet()
 
     private fun report(revision: Long) =
@@ -27,7 +25,7 @@
     @Test
     fun `a gateway is ready once it has a routing table`() {
         val harness = GatewayHarness().apply { feed(RuntimeEvent.Started) }
-        assertTrue(PublishedEffect.ReadSnapshot in harness.effects)
+        assertTrue(harness.readsAll())
         harness.feedSnapshot(null, listOf(endpointOf("e1")))
         assertFalse(harness.state.common.ready)
         harness.feedChanges(PublishedRecord.Table(sampleTable))
@@ -64,6 +62,8 @@
         assertEquals(1, harness.watches().size)
     }
 
+    private fun GatewayHarness.readsAll() = effects.any { it is PublishedEffect.ReadSnapshot }
+
     private fun GatewayHarness.reads() = effects.filterIsInstance<PublishedEffect>()
 
     private fun GatewayHarness.watches() = effects.filterIsInstance<PublishedEffect.WatchChanges>()
@@ -79,8 +79,8 @@
     @Test
     fun `a full read after a lost history removes endpoints that it does not list`() {
         val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
-        harness.feed(PublishedEvent.HistoryLost)
-        assertTrue(PublishedEffect.ReadSnapshot in harness.effects)
+        harness.loseHistory()
+        assertTrue(harness.readsAll())
         harness.feedSnapshot(sampleTable, listOf(endpointOf("e2")))
         assertEquals(setOf("e2"), harness.knownEndpoints())
     }
@@ -92,7 +92,7 @@
     @Test
     fun `endpoints removed around an outage are retained until they can register again`() {
         val harness = readyHarness(endpointOf("e1"), endpointOf("e2"), endpointOf("e3"))
-        harness.feed(storeFailure)
+        harness.failRead()
         harness.advance(4.seconds)
         harness.feedChanges(
             PublishedRecord.EndpointRemoved(EndpointId("e1")),
@@ -111,7 +111,7 @@
         val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
         repeat(3) {
             harness.advance(1200.milliseconds)
-            harness.feed(storeFailure)
+            harness.failRead()
             harness.advance(100.milliseconds)
             harness.feedChanges()
             harness.advance(400.milliseconds)
@@ -125,7 +125,7 @@
     fun `an endpoint removed after the time of two heartbeats without an answer is retained`() {
         val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
         harness.advance(1500.milliseconds)
-        harness.feed(storeFailure)
+        harness.failRead()
         harness.advance(900.milliseconds)
         harness.feedChanges(PublishedRecord.EndpointRemoved(EndpointId("e1")))
         assertEquals(setOf("e1", "e2"), harness.knownEndpoints())
@@ -142,13 +142,13 @@
     @Test
     fun `a failed read is repeated after a wait that grows`() {
         val harness = readyHarness(endpointOf("e1"))
-        harness.feed(storeFailure)
+        harness.failRead()
         assertEquals(
             emptyList(),
             harness.advance(90.milliseconds).filterIsInstance<PublishedEffect>()
         )
         assertEquals(1, harness.advance(20.milliseconds).filterIsInstance<PublishedEffect>().size)
-        repeat(20) { harness.feed(storeFailure) }
+        repeat(20) { harness.failRead() }
         assertEquals(1, harness.advance(501.milliseconds).filterIsInstance<PublishedEffect>().size)
     }
 
@@ -159,13 +159,14 @@
     @Test
     fun `changes that cannot be read are replaced by a full read`() {
         val harness = readyHarness(endpointOf("e1"))
-        val unreadable = PublishedEvent.ReadFailed(null, "answer over 4 bytes", repeatable = false)
-        harness.feed(unreadable)
+        harness.failRead("answer over 4 bytes", repeatable = false)
         harness.advance(110.milliseconds)
-        assertEquals(listOf(PublishedEffect.ReadSnapshot), harness.reads())
-        harness.feed(storeFailure)
+        assertTrue(harness.readsAll())
+        assertEquals(1, harness.reads().size)
+        harness.failRead()
         harness.advance(210.milliseconds)
-        assertEquals(listOf(PublishedEffect.ReadSnapshot), harness.reads())
+        assertTrue(harness.readsAll())
+        assertEquals(1, harness.reads().size)
         harness.feedSnapshot(sampleTable.copy(version = version(7)), listOf(endpointOf("e1")))
         assertEquals(version(7), harness.state.published.table?.version)
         assertEquals(harness.state.published.revision, harness.watches().single().revision)
@@ -177,9 +178,9 @@
         val harness = readyHarness(endpointOf("e1"))
         var reads = 0
         repeat(20) {
-            harness.feed(PublishedEvent.ReadFailed(null, "malformed", repeatable = false))
+            harness.failRead("malformed", repeatable = false)
             reads += harness.advance(50.milliseconds).filterIsInstance<PublishedEffect>().size
-            if (PublishedEffect.ReadSnapshot in harness.effects) {
+            if (harness.readsAll()) {
                 harness.feedSnapshot(sampleTable, listOf(endpointOf("e1")))
                 reads += harness.reads().size
             }
@@ -193,11 +194,11 @@
         val harness = readyHarness(endpointOf("e1"))
         harness.feed(report(revision = 9))
         assertEquals(emptyList(), harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>())
-        harness.feed(storeFailure)
+        harness.failRead()
         val peerRead = harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>().single()
         assertEquals(HostId("10.0.0.2"), peerRead.peer)
         harness.feed(
-            PublishedEvent.SnapshotRead(
+            PublishedEvent.PeerRecordsRead(
                 HostId("10.0.0.2"),
                 Revision(9),
                 listOf(PublishedRecord.Table(sampleTable.copy(version = version(4))))
@@ -205,18 +206,18 @@
         )
         assertEquals(version(4), harness.state.published.table?.version)
         assertEquals(Revision(9), harness.state.published.revision)
-        harness.feed(storeFailure)
+        harness.failRead()
         assertEquals(emptyList(), harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>())
     }
 
     @Test
     fun `a restarted gateway reads its first table from another one if the store is down`() {
         val harness = GatewayHarness().apply { feed(RuntimeEvent.Started) }
-        harness.feed(storeFailure)
+        harness.failRead()
         harness.feed(report(revision = 9))
         assertEquals(1, harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>().size)
         harness.feed(
-            PublishedEvent.SnapshotRead(
+            PublishedEvent.PeerRecordsRead(
                 HostId("10.0.0.2"),
                 Revision(9),
                 listOf(PublishedRecord.Table(sampleTable))
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RandomGatewayRun.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RandomGatewayRun.kt
@@ -13,7 +13,6 @@
 import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.ForwardEvent
-import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.RequestId
@@ -67,12 +66,10 @@
 
         14 -> publishSnapshot()
 
-        15 -> harness.feed(PublishedEvent.ReadFailed(null, "503"))
+        15 -> harness.failRead()
 
         16 -> if (random.nextBoolean()) {
-            harness.feed(
-                PublishedEvent.HistoryLost
-            )
+            harness.loseHistory()
         } else {
             endAttemptLate()
         }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StatementPropertyTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StatementPropertyTest.kt
@@ -12,7 +12,6 @@
 import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.Moment
-import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.ReportedLeaving
 import org.gypsumroute.api.UnixTime
@@ -52,7 +51,7 @@
                 PublishedRecord.EndpointRemoved(EndpointId(ids.random(random)))
             )
 
-            2 -> harness.feed(PublishedEvent.ReadFailed(null, "503"))
+            2 -> harness.failRead()
 
             3 -> stateLeaving()
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/CrashSimulation.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/CrashSimulation.kt
@@ -16,6 +16,7 @@
 import org.gypsumroute.api.PromptPartId
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
+import org.gypsumroute.api.ReadId
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.Revision
 import org.gypsumroute.core.gateway.endpointOf
@@ -101,7 +102,7 @@
     private fun publish(record: PublishedRecord) {
         revision++
         gateways.forEach {
-            it.feed(PublishedEvent.ChangesRead(Revision(revision), listOf(record)))
+            it.feed(PublishedEvent.ChangesRead(ReadId(1), Revision(revision), listOf(record)))
         }
     }
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/GatewaySimulation.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/GatewaySimulation.kt
@@ -275,7 +275,7 @@
             val table = PublishedRecord.Table(tableOf(1, *routes().toTypedArray()))
             feed(
                 PublishedEvent.SnapshotRead(
-                    null,
+                    state.published.reads.latest,
                     Revision(1),
                     listOf(table) + records.map { PublishedRecord.Endpoint(it) }
                 )
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/SimulatedGateway.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/SimulatedGateway.kt
@@ -22,6 +22,7 @@
 import org.gypsumroute.api.OrganisationKeys
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
+import org.gypsumroute.api.ReadId
 import org.gypsumroute.api.RegionId
 import org.gypsumroute.api.RequestHead
 import org.gypsumroute.api.RequestId
@@ -70,7 +71,7 @@
                 PublishedRecord.Endpoint(endpointOf(it.value, modelService))
             }
             val all = listOf(PublishedRecord.Table(table)) + records
-            feed(PublishedEvent.SnapshotRead(null, Revision(1), all))
+            feed(PublishedEvent.SnapshotRead(ReadId(1), Revision(1), all))
         }
     }
 
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
@@ -30,6 +30,7 @@
 import org.gypsumroute.api.NodeRole
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
+import org.gypsumroute.api.ReadId
 import org.gypsumroute.api.RegionId
 import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.RequestHead
@@ -136,7 +137,7 @@
     feed(RuntimeEvent.Started)
     val records = List(engines) { PublishedRecord.Endpoint(sampleEngine(it)) }
     val table = PublishedRecord.Table(sampleTable)
-    feed(PublishedEvent.SnapshotRead(null, Revision(1), listOf(table) + records))
+    feed(PublishedEvent.SnapshotRead(ReadId(1), Revision(1), listOf(table) + records))
 }
 
 private fun sampleEngine(number: Int) = EndpointRecord(
