Do not let an older answer of the store replace newer records

A request could be sent to an endpoint whose record said that it leaves.

Cause: a gateway whose read of the store failed takes the records of another gateway. The answer to a call of its own that was on its way meanwhile was applied after them: it put the earlier record and the earlier revision back. What the gateway then served to others had the later revision with the earlier record, so a third gateway that took it would not have asked for the change again.

Why it works: an answer as of a revision before the known one is overtaken by what is known; it only shows that the store answers. The served records follow the same rule. Full reads had it already.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -21,10 +21,7 @@
     when (event) {
         is PublishedEvent.SnapshotRead -> reduceSnapshot(state, event)
 
-        is PublishedEvent.ChangesRead -> noteStoreAnswer(state)
-            .then { logChanges(it, event) }
-            .then { applyChanges(it, event.revision, event.changes) }
-            .then { if (event.changes.isEmpty()) startRead(it) else readLater(it) }
+        is PublishedEvent.ChangesRead -> reduceChanges(state, event)
 
         is PublishedEvent.HistoryLost ->
             state.step(logEffect(LogEvent.HISTORY_LOST)).then { startFullRead(it) }
@@ -41,12 +38,29 @@
     state: GatewayState,
     event: PublishedEvent.SnapshotRead
 ): Step<GatewayState> {
-    if (event.revision < state.published.revision) return startRead(withReadableChanges(state))
+    if (isOutdated(state, event.revision)) {
+        return noteStoreAnswer(withReadableChanges(state)).then { startRead(it) }
+    }
     return noteStoreAnswer(state)
         .then { applySnapshot(it, "store", event.revision, event.records) }
         .then { startRead(it) }
 }
 
+private fun reduceChanges(
+    state: GatewayState,
+    event: PublishedEvent.ChangesRead
+): Step<GatewayState> {
+    if (isOutdated(state, event.revision)) return noteStoreAnswer(state).then { startRead(it) }
+    return noteStoreAnswer(state)
+        .then { logChanges(it, event) }
+        .then { applyChanges(it, event.revision, event.changes) }
+        .then { if (event.changes.isEmpty()) startRead(it) else readLater(it) }
+}
+
+/** Whether an answer was overtaken by newer records, such as those of another gateway. */
+private fun isOutdated(state: GatewayState, revision: Revision): Boolean =
+    revision < state.published.revision
+
 /** Replaces all records by those of a full read [from] the store or another gateway. */
 internal fun applySnapshot(
     state: GatewayState,
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
@@ -226,6 +226,28 @@
         assertTrue(harness.state.common.ready)
     }
 
+    /**
+     * Guards against requests to an endpoint that leaves: an answer of the store that was on its
+     * way while newer records came from another gateway put the earlier record back.
+     */
+    @Test
+    fun `changes that arrive after newer records of another gateway do not replace them`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        val before = harness.state.published.revision.value
+        val newer = listOf(
+            PublishedRecord.Table(sampleTable.copy(version = version(4))),
+            PublishedRecord.Endpoint(endpointOf("e1", leaving = true)),
+            PublishedRecord.Endpoint(endpointOf("e2"))
+        )
+        val peer = HostId("10.0.0.2")
+        harness.feed(PublishedEvent.PeerRecordsRead(peer, Revision(before + 2), newer))
+        val late = listOf(PublishedRecord.Endpoint(endpointOf("e1")))
+        harness.feed(PublishedEvent.ChangesRead(harness.latestRead, Revision(before + 1), late))
+        assertTrue(harness.state.endpoints.getValue(EndpointId("e1")).record.leaving)
+        assertEquals(Revision(before + 2), harness.state.published.revision)
+        assertEquals(Revision(before + 2), harness.watches().single().revision)
+    }
+
     @Test
     fun `an endpoint that restarted under its id begins without earlier state`() {
         val harness = readyHarness(endpointOf("e1"))
