Divide the time for a change among the steps of reading it, and read beside a silent call

Cause: a watch waited 1.5 s, its call was given up after 2.5 s, the next read came up to 0.5 s later, and each of these limits was chosen by itself. A connection that dies without a word looks like a store without changes, so one dead call kept the records as they were for up to 3.0 s.

An overdue read is followed by another one on a new connection, beside the first, whose answer still counts; parts of an answer postpone it. After a failure the store is asked not to wait, so that the next dead call shows after a quarter of that time.

Why it works: whatever call is dead when a change comes, the read after it starts within the bound, on a connection that cannot be the dead one.

Cost: a watch waits 1.17 s in place of 1.5 s at bounds of 2 s, so a small deployment makes 1.3 times as many calls; with bounds of 3 s and more it stays at 1.5 s.

GatewayRecoveryTest looked one second ahead for exactly one read; its harness never answers, so a second read is right by then. It now looks as far as the wait after the failure.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayBounds.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayBounds.kt
@@ -5,6 +5,8 @@
 /**
  * Limits that the deployment sets for its gateways.
  *
+ * A published change has to be in force in a gateway within [changeTime] after the store took it.
+ *
  * Within any [retryWindow], all gateways together retry at most [retryRatio] times the requests of
  * a service, plus [retryAllowance].
  *
@@ -17,6 +19,7 @@
  * [drainTime].
  */
 data class GatewayBounds(
+    val changeTime: Duration,
     val retryRatio: Double,
     val retryWindow: Duration,
     val retryAllowance: Double,
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEffect.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEffect.kt
@@ -2,17 +2,26 @@
 
 import kotlin.time.Duration
 
-/** Reads of the published records. Each is answered by one `PublishedEvent`. */
+/**
+ * Reads of the published records. Each ends with one `PublishedEvent`; before it, parts of an
+ * answer of the store are reported as `ReadProgressed`.
+ *
+ * A read of the store on a `newConnection` uses none that is open, because those may be dead.
+ */
 sealed interface PublishedEffect : Effect {
     /** Reads all records from the store. */
-    data class ReadSnapshot(val read: ReadId) : PublishedEffect
+    data class ReadSnapshot(val read: ReadId, val newConnection: Boolean) : PublishedEffect
 
     /**
      * Waits up to [wait] for changes after [revision]. If there are none, that is reported as an
      * empty `ChangesRead`, which shows that the store is reachable.
      */
-    data class WatchChanges(val read: ReadId, val revision: Revision, val wait: Duration) :
-        PublishedEffect
+    data class WatchChanges(
+        val read: ReadId,
+        val revision: Revision,
+        val wait: Duration,
+        val newConnection: Boolean
+    ) : PublishedEffect
 
     /** Reads all records that the gateway [peer] holds, for times when the store is unreachable. */
     data class ReadFromPeer(val peer: HostId, val address: EndpointAddress) : PublishedEffect
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEvent.kt
@@ -10,6 +10,9 @@
         val read: ReadId
     }
 
+    /** A part of the answer arrived, so the connection works. */
+    data class ReadProgressed(override val read: ReadId) : OfStore
+
     /** All records as of [revision], which replace those known before. */
     data class SnapshotRead(
         override val read: ReadId,
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
@@ -47,6 +47,9 @@
     /** Next read of the published records after a failure. */
     data object PublishedRead : TimerId
 
+    /** Time at which the answer to the latest read of the store is overdue. */
+    data object ReadOverdue : TimerId
+
     /**
      * Next check of a draining gateway whether it can stop accepting connections: first when the
      * load balancer has had the time to notice the planned stop.
--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
@@ -5,6 +5,7 @@
 package org.gypsumroute.clients
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
 import java.io.IOException
@@ -79,14 +80,28 @@
         .eventListenerFactory { RequestProgressListener }
         .build()
 
-    /** Makes a call and reads its response; a body of more than [maxBytes] bytes is a failure. */
-    suspend fun call(request: Request, maxBytes: Long): Either<ClientFailure, HttpResponse> =
-        suspendCancellableCoroutine { continuation ->
-            val call = start(request) { outcome ->
-                continuation.resume(outcome.fold({ it.left() }, { readBody(it, maxBytes) }))
+    /**
+     * Makes a call and reads its response; a body of more than [maxBytes] bytes is a failure.
+     * [onProgress] is called when the response's head and parts of its body have arrived, on a
+     * thread of the dispatcher.
+     */
+    suspend fun call(
+        request: Request,
+        maxBytes: Long,
+        onProgress: () -> Unit = {}
+    ): Either<ClientFailure, HttpResponse> = suspendCancellableCoroutine { continuation ->
+        val call = start(request) { outcome ->
+            val read = outcome.flatMap {
+                onProgress()
+                readBody(it, maxBytes, onProgress)
             }
-            continuation.invokeOnCancellation { call.cancel() }
+            continuation.resume(read)
         }
+        continuation.invokeOnCancellation { call.cancel() }
+    }
+
+    /** Closes the connections that no call uses, so that the next call opens one. */
+    fun closeIdleConnections() = client.connectionPool.evictAll()
 
     /**
      * Starts a call. [onOutcome] is called once, on a thread of the dispatcher, and may read the
@@ -163,11 +178,19 @@
         .encodedPath(path)
 }
 
-private fun readBody(response: Response, limit: Long): Either<ClientFailure, HttpResponse> = try {
+private fun readBody(
+    response: Response,
+    limit: Long,
+    onProgress: () -> Unit
+): Either<ClientFailure, HttpResponse> = try {
     val body = Buffer()
     val source = response.body.source()
+    var nextReport = PROGRESS_BYTES
     while (body.size <= limit && source.read(body, limit + 1 - body.size) >= 0) {
-        // The condition reads until the end of the body or past the limit.
+        if (body.size >= nextReport) {
+            onProgress()
+            nextReport = body.size + PROGRESS_BYTES
+        }
     }
     if (body.size > limit) {
         ClientFailure.Malformed("answer over $limit bytes").left()
@@ -190,4 +213,6 @@
     }
 }
 
+/** Progress is reported after each part of a body of this size. */
+private const val PROGRESS_BYTES = 64L * 1024
 private val SUCCESS_STATUSES = 200..299
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
@@ -62,17 +62,19 @@
 internal fun countDroppedInput(input: UnexpectedInput): Effect =
     RuntimeEffect.Count(Metric.INPUT_DROPPED, MetricLabels(outcome = input.code))
 
-internal fun countRead(event: PublishedEvent): Effect = RuntimeEffect.Count(
-    Metric.STORE_READS,
-    MetricLabels(
-        outcome = when (event) {
-            is PublishedEvent.SnapshotRead, is PublishedEvent.PeerRecordsRead -> "snapshot"
-            is PublishedEvent.ChangesRead -> "changes"
-            is PublishedEvent.HistoryLost -> "history_lost"
-            is PublishedEvent.ReadFailed, is PublishedEvent.PeerReadFailed -> "failed"
-        }
-    )
-)
+internal fun countRead(outcome: String): Effect =
+    RuntimeEffect.Count(Metric.STORE_READS, MetricLabels(outcome = outcome))
+
+internal fun readOutcome(event: PublishedEvent): String = when (event) {
+    is PublishedEvent.SnapshotRead, is PublishedEvent.PeerRecordsRead -> "snapshot"
+    is PublishedEvent.ChangesRead -> "changes"
+    is PublishedEvent.HistoryLost -> "history_lost"
+    is PublishedEvent.ReadFailed, is PublishedEvent.PeerReadFailed -> "failed"
+    is PublishedEvent.ReadProgressed -> "progressed"
+}
+
+/** Outcome of reads of the store whose answer is overdue. */
+internal const val READ_OVERDUE = "overdue"
 
 private fun labelsOf(record: ForwardRecord) =
     MetricLabels(service = record.service, organisation = record.organisation)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -34,9 +34,11 @@
 
     is RuntimeEvent.TimerFired -> reduceGatewayTimer(state, event.timer)
 
+    is PublishedEvent.ReadProgressed -> reduceReadProgressed(state, event)
+
     is PublishedEvent -> reducePublished(state, event)
         .then { updateGatewayReadiness(it) }
-        .then { it.step(countRead(event)) }
+        .then { it.step(countRead(readOutcome(event))) }
 
     is ForwardEvent -> reduceForward(state, event)
 
@@ -63,7 +65,8 @@
 private fun reduceGatewayTimer(state: GatewayState, timer: TimerId): Step<GatewayState> =
     when (timer) {
         is TimerId.ForwardDeadline -> reduceForwardDeadline(state, timer.request)
-        is TimerId.PublishedRead -> startRead(state)
+        is TimerId.PublishedRead -> startReadUnlessAwaited(state)
+        is TimerId.ReadOverdue -> reduceReadOverdue(state)
         is TimerId.EndpointReturn -> removeLapsedEndpoints(state)
         is TimerId.ReservationRenewal -> renewReservations(state)
         is TimerId.ReportBeat -> reducePeriodicReport(state)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -23,12 +23,13 @@
 
         is PublishedEvent.ChangesRead -> reduceChanges(state, event)
 
-        is PublishedEvent.HistoryLost ->
-            state.step(logEffect(LogEvent.HISTORY_LOST)).then { startFullRead(it) }
+        is PublishedEvent.HistoryLost -> reduceHistoryLost(state, event)
 
         is PublishedEvent.ReadFailed ->
             reduceReadFailed(state, event).then { readFromPeerIfNewer(it) }
 
+        is PublishedEvent.ReadProgressed -> reduceReadProgressed(state, event)
+
         is PublishedEvent.PeerRecordsRead -> reducePeerRecords(state, event)
 
         is PublishedEvent.PeerReadFailed -> reducePeerReadFailed(state, event)
@@ -38,23 +39,27 @@
     state: GatewayState,
     event: PublishedEvent.SnapshotRead
 ): Step<GatewayState> {
-    if (isOutdated(state, event.revision)) {
-        return noteStoreAnswer(withReadableChanges(state)).then { startRead(it) }
+    val answered = noteStoreAnswer(state, event.read)
+    return if (isOutdated(state, event.revision)) {
+        answered.then { startReadUnlessAwaited(withReadableChanges(it)) }
+    } else {
+        answered.then { applySnapshot(it, "store", event.revision, event.records) }
+            .then { startReadUnlessAwaited(it) }
     }
-    return noteStoreAnswer(state)
-        .then { applySnapshot(it, "store", event.revision, event.records) }
-        .then { startRead(it) }
 }
 
 private fun reduceChanges(
     state: GatewayState,
     event: PublishedEvent.ChangesRead
 ): Step<GatewayState> {
-    if (isOutdated(state, event.revision)) return noteStoreAnswer(state).then { startRead(it) }
-    return noteStoreAnswer(state)
-        .then { logChanges(it, event) }
-        .then { applyChanges(it, event.revision, event.changes) }
-        .then { if (event.changes.isEmpty()) startRead(it) else readLater(it) }
+    val answered = noteStoreAnswer(state, event.read)
+    return if (event.changes.isEmpty() || isOutdated(state, event.revision)) {
+        answered.then { startReadUnlessAwaited(it) }
+    } else {
+        answered.then { logChanges(it, event) }
+            .then { applyChanges(it, event.revision, event.changes) }
+            .then { readLater(it) }
+    }
 }
 
 /** Whether an answer was overtaken by newer records, such as those of another gateway. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StoreReadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StoreReadReducer.kt
@@ -1,5 +1,10 @@
 /*
  * When the store is read, and what failed reads mean.
+ *
+ * One read is awaited at a time: a call that waits for changes, or for all records. If its answer
+ * is overdue, another read starts on a new connection, and whichever answers first counts: a call
+ * whose connection has died must not keep a change from being noticed in time, and a slow answer
+ * must not be thrown away.
  */
 package org.gypsumroute.core.gateway
 
@@ -11,6 +16,7 @@
 import org.gypsumroute.api.MetricLabels
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
+import org.gypsumroute.api.ReadId
 import org.gypsumroute.api.Revision
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
@@ -20,24 +26,39 @@
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
 
+/** Starts a read of the store unless one is awaited already. */
+internal fun startReadUnlessAwaited(state: GatewayState): Step<GatewayState> =
+    if (state.published.reads.awaited) state.step() else startRead(state)
+
 /**
  * Requests the changes after the known revision, or all records if none is known or these changes
- * cannot be read.
+ * cannot be read. After a failure the store is not to wait for changes, so that its answer shows at
+ * once that it can be reached.
  */
 internal fun startRead(state: GatewayState): Step<GatewayState> {
     val published = state.published
     if (published.revision == Revision.NONE || published.reads.changesUnreadable) {
         return startFullRead(state)
     }
-    val read = published.reads.latest.next()
-    return withReads(state) { it.copy(latest = read) }
-        .step(PublishedEffect.WatchChanges(read, published.revision, WATCH_WAIT))
+    val wait = if (published.storeReachable) watchTime(state) else Duration.ZERO
+    return startAwaited(state, wait + answerTime(state)) { read ->
+        PublishedEffect.WatchChanges(read, published.revision, wait, !published.storeReachable)
+    }
 }
 
-/** Requests all records. */
-internal fun startFullRead(state: GatewayState): Step<GatewayState> {
+private fun startFullRead(state: GatewayState): Step<GatewayState> =
+    startAwaited(state, answerTime(state)) { read ->
+        PublishedEffect.ReadSnapshot(read, newConnection = !state.published.storeReachable)
+    }
+
+private inline fun startAwaited(
+    state: GatewayState,
+    limit: Duration,
+    effect: (ReadId) -> PublishedEffect
+): Step<GatewayState> {
     val read = state.published.reads.latest.next()
-    return withReads(state) { it.copy(latest = read) }.step(PublishedEffect.ReadSnapshot(read))
+    return withReads(state) { it.copy(latest = read, awaited = true) }
+        .step(RuntimeEffect.SetTimer(TimerId.ReadOverdue, limit), effect(read))
 }
 
 /** Notes that records were read, so that the changes after them are asked for next. */
@@ -48,17 +69,32 @@
  * Requests the next changes after a wait, so that changes in quick succession arrive together. The
  * wait grows with the number of gateways, which all make the same calls to the store.
  */
-internal fun readLater(state: GatewayState): Step<GatewayState> {
-    val wait = (READ_SPACING_PER_GATEWAY * state.gatewayCount).coerceAtMost(MAX_READ_SPACING)
-    return state.step(RuntimeEffect.SetTimer(TimerId.PublishedRead, wait))
+internal fun readLater(state: GatewayState): Step<GatewayState> =
+    state.step(RuntimeEffect.SetTimer(TimerId.PublishedRead, readSpacing(state)))
+
+private fun readSpacing(state: GatewayState): Duration =
+    (READ_SPACING_PER_GATEWAY * state.gatewayCount).coerceAtMost(MAX_READ_SPACING)
+
+/** Time within which an answer of the store begins or goes on, beyond the wait for changes. */
+private fun answerTime(state: GatewayState): Duration =
+    (state.bounds.changeTime * ANSWER_FRACTION).coerceIn(MIN_ANSWER_TIME, MAX_ANSWER_TIME)
+
+/**
+ * How long the store may wait for changes before it answers. If a change comes just after a read,
+ * and the call that waits for it is dead, the read after that one is still in time.
+ */
+private fun watchTime(state: GatewayState): Duration {
+    val rest = state.bounds.changeTime - answerTime(state) - readSpacing(state) - REREAD_RESERVE
+    return rest.coerceIn(MIN_WATCH_TIME, MAX_WATCH_TIME)
 }
 
-/** Records that the store answered. */
-internal fun noteStoreAnswer(state: GatewayState): Step<GatewayState> {
+/** Records that the store answered this read. */
+internal fun noteStoreAnswer(state: GatewayState, read: ReadId): Step<GatewayState> {
     val published = state.published
     val now = state.common.now
     val silence = now - published.reads.lastAnswerAt
-    val answered = withReads(state) { it.copy(failures = 0, lastAnswerAt = now) }
+    val answered = withoutAwaited(state, read)
+        .let { next -> withReads(next) { it.copy(failures = 0, lastAnswerAt = now) } }
         .step(RuntimeEffect.Observe(Metric.STORE_SILENCE, MetricLabels(), silence.toSeconds()))
     val isOutage = published.revision != Revision.NONE &&
         (!published.storeReachable || silence > MAX_SILENCE_WITHOUT_OUTAGE)
@@ -67,50 +103,95 @@
         .then { if (silence < it.bounds.endpointLapseTime) it.step() else retainLapsed(it) }
 }
 
+/** The store can be reached, but has only its records. */
+internal fun reduceHistoryLost(
+    state: GatewayState,
+    event: PublishedEvent.HistoryLost
+): Step<GatewayState> {
+    val ended = withoutAwaited(state, event.read)
+    val logged = ended.step(logEffect(LogEvent.HISTORY_LOST))
+    return if (ended.published.reads.awaited) logged else logged.then { startFullRead(it) }
+}
+
+/** The answer to a read has begun or goes on, so it is not overdue yet. */
+internal fun reduceReadProgressed(
+    state: GatewayState,
+    event: PublishedEvent.ReadProgressed
+): Step<GatewayState> {
+    if (!isAwaited(state, event.read)) return state.step()
+    return state.step(RuntimeEffect.SetTimer(TimerId.ReadOverdue, answerTime(state)))
+}
+
+/** Starts another read beside the one whose answer is overdue, which may still answer. */
+internal fun reduceReadOverdue(state: GatewayState): Step<GatewayState> {
+    if (!state.published.reads.awaited) return state.step()
+    return noteFailure(state, "no answer in time", repeatable = true)
+        .then { it.step(countRead(READ_OVERDUE)) }
+        .then { startRead(it) }
+        .then { readFromPeerIfNewer(it) }
+}
+
+/** Reads again after a wait, unless a later read is awaited. */
 internal fun reduceReadFailed(
     state: GatewayState,
     event: PublishedEvent.ReadFailed
 ): Step<GatewayState> {
-    val reads = state.published.reads
-    val next = reads.copy(
-        failures = reads.failures + 1,
-        changesUnreadable = reads.changesUnreadable || !event.repeatable
-    )
-    val wait = (READ_BACKOFF_STEP * next.failures).coerceAtMost(MAX_READ_BACKOFF)
-    val log = when {
-        next.changesUnreadable && !reads.changesUnreadable -> LogEvent.CHANGES_UNREADABLE
-        reads.failures == 0 -> LogEvent.STORE_LOST
-        else -> null
+    if (!isAwaited(state, event.read)) {
+        return if (event.repeatable) state.step() else noteUnreadable(state, event.cause)
     }
-    val failed = withReads(state) { next }.step(
-        RuntimeEffect.SetTimer(TimerId.PublishedRead, wait),
+    return noteFailure(withoutAwaited(state, event.read), event.cause, event.repeatable).then {
+        val wait = READ_BACKOFF_STEP * it.published.reads.failures
+        it.step(
+            RuntimeEffect.SetTimer(TimerId.PublishedRead, wait.coerceAtMost(MAX_READ_BACKOFF))
+        )
+    }
+}
+
+private fun noteFailure(
+    state: GatewayState,
+    cause: String,
+    repeatable: Boolean
+): Step<GatewayState> {
+    val reads = state.published.reads
+    val failed = withReads(state) { it.copy(failures = it.failures + 1) }.step(
         logEffect(
             LogEvent.READ_FAILED,
-            "failures" to next.failures,
+            "failures" to reads.failures + 1,
             "silent" to (state.common.now - reads.lastAnswerAt),
             "revision" to state.published.revision,
-            "cause" to event.cause
+            "cause" to cause
         )
     )
-    return if (log == null) {
-        failed
-    } else {
-        failed.then { it.step(logEffect(log, "cause" to event.cause)) }
+    return when {
+        !repeatable -> failed.then { noteUnreadable(it, cause) }
+
+        reads.failures == 0 -> failed.then {
+            it.step(logEffect(LogEvent.STORE_LOST, "cause" to cause))
+        }
+
+        else -> failed
     }
 }
 
+/** Notes that the changes cannot be read, so that all records are asked for next. */
+private fun noteUnreadable(state: GatewayState, cause: String): Step<GatewayState> {
+    if (state.published.reads.changesUnreadable) return state.step()
+    return withReads(state) { it.copy(changesUnreadable = true) }
+        .step(logEffect(LogEvent.CHANGES_UNREADABLE, "cause" to cause))
+}
+
+private fun isAwaited(state: GatewayState, read: ReadId): Boolean =
+    state.published.reads.awaited && state.published.reads.latest == read
+
+private fun withoutAwaited(state: GatewayState, read: ReadId): GatewayState =
+    if (isAwaited(state, read)) withReads(state) { it.copy(awaited = false) } else state
+
 private inline fun withReads(
     state: GatewayState,
     change: (StoreReads) -> StoreReads
 ): GatewayState =
     state.copy(published = state.published.copy(reads = change(state.published.reads)))
 
-/**
- * How long the store may wait for changes before it answers. Also the longest time for which an
- * unresponsive connection to the store goes unnoticed.
- */
-private val WATCH_WAIT: Duration = 1500.milliseconds
-
 private val READ_SPACING_PER_GATEWAY: Duration = 10.milliseconds
 
 /** A small part of the time within which a change has to be in force. */
@@ -122,3 +203,13 @@
 /** The wait before the next read grows by this with each failed read in a row. */
 private val READ_BACKOFF_STEP: Duration = 100.milliseconds
 private val MAX_READ_BACKOFF: Duration = 500.milliseconds
+
+/** Share of the time for a change in which the store has to answer. */
+private const val ANSWER_FRACTION = 0.25
+private val MIN_ANSWER_TIME: Duration = 200.milliseconds
+private val MAX_ANSWER_TIME: Duration = 1.seconds
+private val MIN_WATCH_TIME: Duration = 100.milliseconds
+private val MAX_WATCH_TIME: Duration = 1500.milliseconds
+
+/** Time for the read that follows one without an answer, and for applying what it returns. */
+private val REREAD_RESERVE: Duration = 300.milliseconds
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/Extremes.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/Extremes.kt
@@ -120,6 +120,7 @@
     )
 
     fun bounds() = GatewayBounds(
+        changeTime = 2.seconds,
         retryRatio = number(),
         retryWindow = duration(10.minutes).coerceAtLeast(1.seconds),
         retryAllowance = number(),
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -207,6 +207,7 @@
 internal const val KEY_DIGEST = "digest-1"
 
 internal val sampleBounds = GatewayBounds(
+    changeTime = 2.seconds,
     retryRatio = 0.2,
     retryWindow = 10.seconds,
     retryAllowance = 10.0,
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayRecoveryTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayRecoveryTest.kt
@@ -8,6 +8,7 @@
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.ErrorKind
@@ -95,7 +96,7 @@
         reductionFails = true
         harness.loseHistory()
         reductionFails = false
-        harness.advance(1.seconds)
+        harness.advance(200.milliseconds)
         assertEquals(1, harness.effects.filterIsInstance<PublishedEffect>().size)
     }
 
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/PublishedSource.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/PublishedSource.kt
@@ -7,7 +7,10 @@
  * An adapter implements it for its platform.
  */
 interface PublishedSource : AutoCloseable {
-    /** Starts a read and returns immediately; the read emits exactly one event when it ends. */
+    /**
+     * Starts a read and returns immediately. The read emits exactly one event when it ends, and may
+     * report its progress before that.
+     */
     fun execute(effect: PublishedEffect)
 
     /** Returns the latest records, encoded for another gateway. */
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
@@ -128,7 +128,16 @@
             Timings(),
             defaultPolicies
         ),
-        GatewayBounds(0.2, 10.seconds, 100.0, 2.seconds, 2.seconds, 3.seconds, 8.seconds),
+        GatewayBounds(
+            2.seconds,
+            0.2,
+            10.seconds,
+            100.0,
+            2.seconds,
+            2.seconds,
+            3.seconds,
+            8.seconds
+        ),
         GatewayPolicies(ForwardPlacements.leastPredictedLoss),
         ExchangeState(EndpointAddress("10.0.0.1", 7000), emptyList()),
         UnixTime(0)
