Do not take a gateway's own silence for an outage of the store

Requests went on to an endpoint whose record was removed, 3.7 to 4.4 s after the removal.

Cause: after a silence in which records can lapse, removed endpoints are retained until live ones can have registered again. The silence was measured by this gateway's own calls, so one lost answer, or a cut of this host alone, counted as an outage of the store.

Change: reports say how long ago the store answered their gateway. An outage is a time in which the store answered no gateway that this one hears from.

Why it works: records lapse because endpoints cannot renew them; if the store answers other gateways, it takes renewals too. If all of them are silent, a gateway still has to assume an outage.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
@@ -11,7 +11,8 @@
  * [storeReachable] tells whether its last read of the store succeeded. [members] are the gateways
  * that it hears from. [ready] tells whether the load balancer may send it new connections.
  * [crashes] is what it knows of prompts under which endpoints ended. [age] is the time since it
- * started. [leaving] are endpoints that stated to it that they leave.
+ * started. [leaving] are endpoints that stated to it that they leave. [storeAnswerAge] is the time
+ * since the store last answered it, or null if it never has.
  */
 data class GatewayReport(
     val host: HostId,
@@ -24,5 +25,6 @@
     val members: List<EndpointAddress>,
     val crashes: CrashReport = CrashReport(),
     val age: Duration = Duration.ZERO,
-    val leaving: List<ReportedLeaving> = emptyList()
+    val leaving: List<ReportedLeaving> = emptyList(),
+    val storeAnswerAge: Duration? = null
 )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -74,6 +74,7 @@
     val informed = endCautionBeside(changed, report.age)
         .then { reduceCrashReport(it, report.crashes) }
         .then { reduceReportedLeaving(it, "${report.host}", report.leaving) }
+        .then { noteReportedAnswer(it, report) }
     return if (previous != null) {
         informed.then { readFromPeerIfNewer(it) }
     } else {
@@ -91,6 +92,11 @@
     }
 }
 
+private fun noteReportedAnswer(state: GatewayState, report: GatewayReport): Step<GatewayState> {
+    val age = report.storeAnswerAge ?: return state.step()
+    return noteStoreHeard(state, state.common.now + -age)
+}
+
 private fun stoppingSince(previous: Member?, report: GatewayReport, now: Moment): Moment? = when {
     report.ready || previous?.report?.incarnation != report.incarnation -> null
     previous.report.ready -> now
@@ -199,7 +205,8 @@
             .filterValues { now - it.lastReportAt < MEMBER_LISTING_TIME }.keys.toList(),
         crashes = state.crashes.reportAt(now, next.sequence),
         age = now - Moment.START,
-        leaving = leavingReport(state, next.sequence)
+        leaving = leavingReport(state, next.sequence),
+        storeAnswerAge = state.published.reads.silenceAt(now)
     )
     return state.copy(exchange = next)
         .step(ExchangeEffect.SendReport(targets.toList(), report))
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
@@ -125,7 +125,7 @@
     "route" to record.route.name,
     "version" to state.published.table?.version,
     "revision" to state.published.revision,
-    "records_age" to (state.common.now - state.published.reads.lastAnswerAt),
+    "records_age" to state.published.reads.silenceAt(state.common.now),
     "endpoint" to choice.endpoint,
     "endpoint_start" to endpoint.record.startedAt?.milliseconds,
     "address" to endpoint.record.address,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StoreReadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StoreReadReducer.kt
@@ -14,6 +14,7 @@
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Metric
 import org.gypsumroute.api.MetricLabels
+import org.gypsumroute.api.Moment
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.ReadId
@@ -90,17 +91,32 @@
 
 /** Records that the store answered this read. */
 internal fun noteStoreAnswer(state: GatewayState, read: ReadId): Step<GatewayState> {
-    val published = state.published
+    val reads = state.published.reads
     val now = state.common.now
-    val silence = now - published.reads.lastAnswerAt
-    val answered = withoutAwaited(state, read)
-        .let { next -> withReads(next) { it.copy(failures = 0, lastAnswerAt = now) } }
-        .step(RuntimeEffect.Observe(Metric.STORE_SILENCE, MetricLabels(), silence.toSeconds()))
-    val isOutage = published.revision != Revision.NONE &&
-        (!published.storeReachable || silence > MAX_SILENCE_WITHOUT_OUTAGE)
-    if (!isOutage) return answered
-    return answered.then { it.step(logEffect(LogEvent.STORE_REGAINED, "silent" to silence)) }
-        .then { if (silence < it.bounds.endpointLapseTime) it.step() else retainLapsed(it) }
+    val silence = reads.silenceAt(now)
+    val answered = withReads(withoutAwaited(state, read)) {
+        it.copy(failures = 0, lastAnswerAt = now)
+    }
+    val logs = listOfNotNull(
+        silence?.let {
+            RuntimeEffect.Observe(Metric.STORE_SILENCE, MetricLabels(), it.toSeconds())
+        },
+        logEffect(LogEvent.STORE_REGAINED, "silent" to silence).takeIf { reads.failures > 0 }
+    )
+    return Step(answered, logs).then { noteStoreHeard(it, now) }
+}
+
+/**
+ * Records that the store answered some gateway at the time [at]. If it answered none for long
+ * before that, records of live endpoints may have lapsed meanwhile. The silence of one gateway
+ * alone does not mean that: it may be the only one that did not hear the store.
+ */
+internal fun noteStoreHeard(state: GatewayState, at: Moment): Step<GatewayState> {
+    val before = state.published.reads.lastHeardAt
+    if (before != null && at <= before) return state.step()
+    val heard = withReads(state) { it.copy(lastHeardAt = at) }
+    val isOutage = before != null && at - before >= state.bounds.endpointLapseTime
+    return if (isOutage) retainLapsed(heard) else heard.step()
 }
 
 /** The store can be reached, but has only its records. */
@@ -157,7 +173,7 @@
         logEffect(
             LogEvent.READ_FAILED,
             "failures" to reads.failures + 1,
-            "silent" to (state.common.now - reads.lastAnswerAt),
+            "silent" to reads.silenceAt(state.common.now),
             "revision" to state.published.revision,
             "cause" to cause
         )
@@ -197,9 +213,6 @@
 /** A small part of the time within which a change has to be in force. */
 private val MAX_READ_SPACING: Duration = 400.milliseconds
 
-/** A longer time between answers of the store counts as an outage. */
-private val MAX_SILENCE_WITHOUT_OUTAGE: Duration = 3.seconds
-
 /** The wait before the next read grows by this with each failed read in a row. */
 private val READ_BACKOFF_STEP: Duration = 100.milliseconds
 private val MAX_READ_BACKOFF: Duration = 500.milliseconds
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StoreReadReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StoreReadReducerTest.kt
@@ -45,6 +45,23 @@
         }
     }
 
+    /**
+     * Guards against requests to an endpoint whose record is gone, three seconds after the last
+     * disruption: after an outage of the store, the endpoints of lapsed records are retained.
+     */
+    @Test
+    fun `an endpoint removed after an outage is gone three seconds after the store is back`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        harness.advance(10.seconds)
+        awaitNextRead(harness)
+        val backAt = harness.now
+        awaitNextRead(harness)
+        harness.feedChanges(PublishedRecord.EndpointRemoved(EndpointId("e1")))
+        assertTrue(EndpointId("e1") in harness.state.endpoints)
+        harness.advance(3.seconds - (harness.now - backAt))
+        assertFalse(EndpointId("e1") in harness.state.endpoints)
+    }
+
     /** The longest time from a change to the call after the one that it finds dead. */
     private fun longestDelay(gateways: Int, bound: Duration, failures: Int): Duration {
         val harness = GatewayHarness(sampleBounds.copy(changeTime = bound))
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -58,7 +58,8 @@
     age = ageOf(report.age),
     leaving = report.leaving.map {
         LeavingRecord(it.endpoint.value, it.startedAt?.milliseconds, ageOf(it.ago))
-    }
+    },
+    storeAnswerAge = report.storeAnswerAge?.let(::ageOf)
 )
 
 private fun recordOf(clearance: ReportedClearance) = ClearanceRecord(
@@ -122,7 +123,8 @@
             it.startedAt?.let { start -> UnixTime(start) },
             durationOf(it.ago)
         )
-    }
+    },
+    storeAnswerAge = record.storeAnswerAge?.let(::durationOf)
 )
 
 private fun partsOf(first: Long, further: List<Long>): List<PromptPartId> =
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
@@ -11,7 +11,10 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 
-/** [age] is the time in milliseconds since the reporting process started. */
+/**
+ * [age] is the time in milliseconds since the reporting process started, and [storeAnswerAge] since
+ * the store last answered it.
+ */
 @Serializable
 internal class ReportRecord(
     @CborLabel(label = 1) val host: String,
@@ -25,7 +28,8 @@
     @CborLabel(label = 9) val suspicions: List<SuspicionRecord> = emptyList(),
     @CborLabel(label = 10) val clearances: List<ClearanceRecord> = emptyList(),
     @CborLabel(label = 11) val age: Int = 0,
-    @CborLabel(label = 12) val leaving: List<LeavingRecord> = emptyList()
+    @CborLabel(label = 12) val leaving: List<LeavingRecord> = emptyList(),
+    @CborLabel(label = 13) val storeAnswerAge: Int? = null
 )
 
 /** An endpoint that stated, [ago] milliseconds before, that its start at [startedAt] leaves. */
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
@@ -59,7 +59,8 @@
         leaving = List(nextInt(0, 4)) {
             val start = if (nextBoolean()) UnixTime(nextLong()) else null
             ReportedLeaving(EndpointId("e$it"), start, duration())
-        }
+        },
+        storeAnswerAge = if (nextBoolean()) duration() else null
     )
 
     private fun Random.parts() = List(nextInt(1, 4)) { PromptPartId(nextLong()) }
