Let no later record of a start unsay that it leaves

Cause: that an endpoint leaves was a field of its current record, so that any later record of the same start ended it.

Evidence: the new case of LeavingMarkTest failed before.

Change: a record that says that its start leaves sets the same mark as an answer. The mark ends with a newer start.

Why it works: an endpoint that announced its stop does not take it back; a new start has a new stamp.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -22,7 +22,7 @@
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
  * endpoints of the published records.
  *
- * The process started at [startedAt]. [leaving] are the endpoints that stated that they leave, and
+ * The process started at [startedAt]. [leaving] are the endpoints that said that they leave, and
  * [pauses] tells until when starts of endpoints want nothing from this gateway; both outlive the
  * records. [renewalTimerSet] tells whether a timer is set for the renewal of reservations.
  *
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointRecords.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointRecords.kt
@@ -27,6 +27,7 @@
         previous.copy(record = record, coldUntil = coldUntil, misdirected = false)
     }
     val event = when {
+        contradictsLeaving(state, record) -> LogEvent.RECORD_OUTDATED
         previous == null -> LogEvent.ENDPOINT_ADDED
         restarted -> LogEvent.ENDPOINT_REBORN
         record.leaving && !previous.record.leaving -> LogEvent.ENDPOINT_LEAVING
@@ -34,8 +35,10 @@
     }
     val lapsed = state.published.lapsedEndpoints.remove(record.id)
     val published = state.published.copy(lapsedEndpoints = lapsed)
-    val changed =
-        state.copy(endpoints = state.endpoints.put(record.id, next), published = published)
+    val changed = withPublishedLeaving(
+        state.copy(endpoints = state.endpoints.put(record.id, next), published = published),
+        record
+    )
     return if (event == null) changed.step() else changed.step(endpointLog(event, record))
 }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
@@ -1,15 +1,16 @@
 /*
  * What endpoints state of themselves in their answers, and what other gateways report of that.
  *
- * An endpoint that stated that it leaves gets nothing new, whatever its published record says,
- * until a newer start of it is published: one that began after the statement. The mark outlives the
- * record, which may lapse and come back while the endpoint still runs.
+ * An endpoint that said that it leaves, in an answer or in its record, gets nothing new until a
+ * newer start of it is published. For an answer, that is one that began after the statement. The
+ * mark outlives the record, which may lapse and come back while the endpoint still runs.
  */
 package org.gypsumroute.core.gateway
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EndpointRecord
 import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.LogEvent
@@ -73,6 +74,19 @@
     return record.leaving || state.leaving[record.id]?.holdsFor(record.startedAt) == true
 }
 
+/** Marks the start in a record that says that it leaves; a later record does not unsay it. */
+internal fun withPublishedLeaving(state: GatewayState, record: EndpointRecord): GatewayState {
+    val start = record.startedAt
+    if (!record.leaving || start == null) return state
+    val mark = LeavingMark(start, state.common.now, lastStart = start, own = false)
+    val merged = state.leaving[record.id]?.mergedWith(mark) ?: mark
+    return state.copy(leaving = state.leaving.put(record.id, merged))
+}
+
+/** Whether a record that says that it is ready names a start that is known to leave. */
+internal fun contradictsLeaving(state: GatewayState, record: EndpointRecord): Boolean =
+    !record.leaving && state.leaving[record.id]?.holdsFor(record.startedAt) == true
+
 /** Forgets marks of endpoints whose records are gone for so long that they have ended. */
 internal fun withoutOldMarks(state: GatewayState): GatewayState {
     val now = state.common.now
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/LeavingMarkTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/LeavingMarkTest.kt
@@ -109,6 +109,37 @@
         assertTrue(harness.sends.none { it.target.endpoint == reserved.first().endpoint })
     }
 
+    /**
+     * Guards against requests to an endpoint that leaves, after a write of it that the store
+     * carried out late put its earlier record back, or created it anew.
+     */
+    @Test
+    fun `no later record of a start whose record said that it leaves allows it again`() {
+        val harness = twoEndpoints()
+        harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1", leaving = true)))
+        assertEquals(setOf("e2"), harness.used())
+        harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1")))
+        assertEquals(setOf("e2"), harness.used())
+        harness.feedChanges(PublishedRecord.EndpointRemoved(EndpointId("e1")))
+        harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1")))
+        val logged = harness.effects.filterIsInstance<RuntimeEffect.Log>().map { it.event }
+        assertTrue(LogEvent.RECORD_OUTDATED in logged)
+        assertEquals(setOf("e2"), harness.used())
+        harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1", startStamp = 2)))
+        assertTrue("e1" in harness.used())
+    }
+
+    /** Records without a start cannot be told apart, so the last one counts. */
+    @Test
+    fun `a record without a start that says that it leaves is replaced by the next one`() {
+        val harness = readyHarness(endpointOf("e1", startStamp = null))
+        val leaving = endpointOf("e1", startStamp = null, leaving = true)
+        harness.feedChanges(PublishedRecord.Endpoint(leaving))
+        assertEquals(emptySet(), harness.used())
+        harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1", startStamp = null)))
+        assertEquals(setOf("e1"), harness.used())
+    }
+
     /** With the store down, a full read afterwards, or a lapsed record that comes back. */
     @Test
     fun `no record of the same start allows it again`() {
