Use no endpoint whose record became unreadable

If another writer spoils the record of an endpoint, gateways went on using the record from before; a change that came in the same answer, such as that the endpoint leaves, was never seen.

Cause: an entry that cannot be read was passed over in changes, and taken as absent in a full read, so that the two ways of reading the same store disagreed.

Tables stay as they were: the last one that can be read is in force.

Why it works: what is used is then always what the store holds, whichever way it was read.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedRecord.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedRecord.kt
@@ -21,6 +21,10 @@
     /** Operators put a data centre back into service. */
     data class DataCentreBack(val dataCentre: DataCentreId) : PublishedRecord
 
-    /** A record that can't be decoded; [problem] says why. */
-    data class Unusable(val name: String, val problem: String) : PublishedRecord
+    /**
+     * A record that can't be decoded; [problem] says why. If it is that of an [endpoint], it names
+     * none to use.
+     */
+    data class Unusable(val name: String, val problem: String, val endpoint: EndpointId? = null) :
+        PublishedRecord
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
@@ -132,23 +132,27 @@
 private fun applyRecord(state: GatewayState, record: PublishedRecord): Step<GatewayState> =
     when (record) {
         is PublishedRecord.Table -> acceptTable(state, record)
-
         is PublishedRecord.Endpoint -> putEndpoint(state, record.record)
-
         is PublishedRecord.EndpointRemoved -> removeEndpoint(state, record.endpoint)
-
         is PublishedRecord.DataCentreOut -> takeDataCentreOut(state, record.dataCentre)
-
         is PublishedRecord.DataCentreBack -> takeDataCentreBack(state, record.dataCentre)
+        is PublishedRecord.Unusable -> skipUnusable(state, record)
+    }
 
-        is PublishedRecord.Unusable -> state.step(
-            logEffect(
-                LogEvent.RECORD_UNUSABLE,
-                "record" to record.name,
-                "problem" to record.problem
-            )
+/** Keeps what was known, except of an endpoint, which has to publish itself again. */
+private fun skipUnusable(
+    state: GatewayState,
+    record: PublishedRecord.Unusable
+): Step<GatewayState> {
+    val logged = state.step(
+        logEffect(
+            LogEvent.RECORD_UNUSABLE,
+            "record" to record.name,
+            "problem" to record.problem
         )
-    }
+    )
+    return record.endpoint?.let { id -> logged.then { removeEndpoint(it, id) } } ?: logged
+}
 
 /** Accepts a table only if its version is higher, since reads may arrive out of order. */
 private fun acceptTable(state: GatewayState, record: PublishedRecord.Table): Step<GatewayState> {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
@@ -285,6 +285,23 @@
         assertEquals(Revision(before + 2), harness.watches().single().revision)
     }
 
+    /**
+     * Guards against requests to an endpoint by a record that no longer stands in the store: a
+     * change that came just before an unreadable one, such as that it leaves, is never seen.
+     */
+    @Test
+    fun `an endpoint with an unreadable record gets nothing until it publishes itself again`() {
+        val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
+        val spoiled = PublishedRecord.Unusable("servers/e1", "not JSON", EndpointId("e1"))
+        harness.feedChanges(spoiled)
+        assertEquals(setOf("e2"), harness.knownEndpoints())
+        harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e1")))
+        assertEquals(setOf("e1", "e2"), harness.knownEndpoints())
+        harness.feedChanges(PublishedRecord.Unusable("op/config", "not JSON"))
+        assertEquals(setOf("e1", "e2"), harness.knownEndpoints())
+        assertEquals(sampleTable, harness.state.published.table)
+    }
+
     @Test
     fun `an endpoint that restarted under its id begins without earlier state`() {
         val harness = readyHarness(endpointOf("e1"))
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RandomGatewayRun.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RandomGatewayRun.kt
@@ -205,7 +205,7 @@
             0 -> PublishedRecord.EndpointRemoved(randomEndpoint().id)
             1 -> PublishedRecord.DataCentreOut(otherDataCentre)
             2 -> PublishedRecord.DataCentreBack(otherDataCentre)
-            3 -> PublishedRecord.Unusable("servers/x", "state: unknown value")
+            3 -> PublishedRecord.Unusable("servers/x", "state: unknown value", randomEndpoint().id)
             4 -> PublishedRecord.Table(sampleTable.copy(version = tableVersion()))
             else -> PublishedRecord.Endpoint(randomEndpoint())
         }
