Read records from a gateway that reports and whose records could be read

A gateway that the store turns away could keep old records for up to 15 s, and send requests by them.

Cause: it asked the gateway with the latest revision, also one that had ended or whose records could not be read, again and again, although others had newer records than its own. The class is that of the silent call: one source that does not answer is waited for while another one would.

Change: only gateways that reported within 1.5 s are asked, and the one that failed last only if no other has newer records.

Why it works: each failure leads to another source, and an ended gateway drops out with its reports.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
@@ -175,9 +175,13 @@
 /** The latest reports of other gateways, without those older than [LOAD_VALIDITY]. */
 internal fun recentPeerReports(state: GatewayState): List<GatewayReport> =
     state.exchange.members.values
-        .filter { state.common.now - it.lastReportAt < LOAD_VALIDITY }
+        .filter { reportsAt(state.common.now, it) }
         .map { it.report }
 
+/** Whether a gateway has reported recently enough to count on. */
+internal fun reportsAt(now: Moment, member: Member): Boolean =
+    now - member.lastReportAt < LOAD_VALIDITY
+
 /** Number of gateways that share the limits of the deployment, including this one. */
 internal val GatewayState.gatewayCount: Int
     get() = (exchange.members.keys + exchange.seeds + exchange.ownAddress).size
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PeerRecordsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PeerRecordsReducer.kt
@@ -3,6 +3,8 @@
  */
 package org.gypsumroute.core.gateway
 
+import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.HostId
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
@@ -20,18 +22,29 @@
     if (published.peerReadPending || (published.storeReachable && published.table != null)) {
         return state.step()
     }
-    val (address, member) = state.exchange.members.entries
-        .maxByOrNull { it.value.report.revision }
-        ?.takeIf { it.value.report.revision > published.revision } ?: return state.step()
+    val (address, member) = newestMember(state) ?: return state.step()
     return state.copy(published = published.copy(peerReadPending = true))
         .step(PublishedEffect.ReadFromPeer(member.report.host, address))
 }
 
+/**
+ * The gateway with the latest of the records that are newer than this gateway's. One that no longer
+ * reports has probably ended, and the one that failed last is asked only if no other has any.
+ */
+private fun newestMember(state: GatewayState): Map.Entry<EndpointAddress, Member>? {
+    val published = state.published
+    val newer = state.exchange.members.entries.filter { (_, member) ->
+        member.report.revision > published.revision && reportsAt(state.common.now, member)
+    }
+    return newer.filter { it.value.report.host != published.failedPeer }.ifEmpty { newer }
+        .maxByOrNull { it.value.report.revision }
+}
+
 internal fun reducePeerRecords(
     state: GatewayState,
     event: PublishedEvent.PeerRecordsRead
 ): Step<GatewayState> {
-    val noted = notePeerAnswer(state)
+    val noted = withFailedPeer(notePeerAnswer(state), null)
     if (event.revision <= noted.published.revision) return noted.step()
     return applySnapshot(noted, event.peer.value, event.revision, event.records)
 }
@@ -39,9 +52,12 @@
 internal fun reducePeerReadFailed(
     state: GatewayState,
     event: PublishedEvent.PeerReadFailed
-): Step<GatewayState> = notePeerAnswer(state).step(
+): Step<GatewayState> = withFailedPeer(notePeerAnswer(state), event.peer).step(
     logEffect(LogEvent.PEER_RECORDS_FAILED, "member" to event.peer, "cause" to event.cause)
 )
 
+private fun withFailedPeer(state: GatewayState, peer: HostId?): GatewayState =
+    state.copy(published = state.published.copy(failedPeer = peer))
+
 internal fun notePeerAnswer(state: GatewayState): GatewayState =
     state.copy(published = state.published.copy(peerReadPending = false))
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryAfter.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryAfter.kt
@@ -41,7 +41,7 @@
 /** A gateway that stops reports until its process ends, so a silent one is starting again. */
 private fun expectedReturn(state: GatewayState, member: Member): Moment {
     val now = state.common.now
-    val reports = now - member.lastReportAt < LOAD_VALIDITY
+    val reports = reportsAt(now, member)
     val stoppingSince = member.stoppingSince
     return when {
         !reports -> member.lastReportAt + RESTART_TIME
