--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/GatewayState.kt
@@ -8,15 +8,15 @@
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.UnixTime
-import org.gypsumroute.core.gateway.CrashEvidence
-import org.gypsumroute.core.gateway.EndpointStart
-import org.gypsumroute.core.gateway.EndpointState
-import org.gypsumroute.core.gateway.ExchangeState
-import org.gypsumroute.core.gateway.ForwardRecord
-import org.gypsumroute.core.gateway.GatewayPolicies
-import org.gypsumroute.core.gateway.LeavingMark
-import org.gypsumroute.core.gateway.PublishedState
-import org.gypsumroute.core.gateway.RetryBudget
+import org.gypsumroute.core.gateway.attempts.ForwardRecord
+import org.gypsumroute.core.gateway.attempts.RetryBudget
+import org.gypsumroute.core.gateway.crashes.CrashEvidence
+import org.gypsumroute.core.gateway.endpoints.EndpointStart
+import org.gypsumroute.core.gateway.endpoints.EndpointState
+import org.gypsumroute.core.gateway.endpoints.LeavingMark
+import org.gypsumroute.core.gateway.exchange.ExchangeState
+import org.gypsumroute.core.gateway.placement.GatewayPolicies
+import org.gypsumroute.core.gateway.records.PublishedState
 
 /**
  * State of a gateway, an entry without agents. A gateway forwards requests unchanged to the
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayDrain.kt
@@ -19,6 +19,10 @@
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.drain.DrainPhase
+import org.gypsumroute.core.gateway.attempts.ForwardRecord
+import org.gypsumroute.core.gateway.attempts.endWithError
+import org.gypsumroute.core.gateway.attempts.endWithHeldFailure
+import org.gypsumroute.core.gateway.attempts.otherGatewayReady
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.reduceDrainRequested
 import org.gypsumroute.core.step
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
@@ -11,6 +11,9 @@
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.UnexpectedInput
+import org.gypsumroute.core.gateway.attempts.CallerLeftStage
+import org.gypsumroute.core.gateway.attempts.ForwardRecord
+import org.gypsumroute.core.gateway.placement.toSeconds
 
 /** Outcome of requests that were answered with an endpoint's failure. */
 internal const val ENDPOINT_FAILED = "endpoint_failed"
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayRecovery.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayRecovery.kt
@@ -21,6 +21,13 @@
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.UNDECIDED
+import org.gypsumroute.core.gateway.attempts.RETRY_AFTER
+import org.gypsumroute.core.gateway.attempts.closeRequest
+import org.gypsumroute.core.gateway.attempts.endWithError
+import org.gypsumroute.core.gateway.attempts.recordHolding
+import org.gypsumroute.core.gateway.attempts.retryAfter
+import org.gypsumroute.core.gateway.records.notePeerAnswer
+import org.gypsumroute.core.gateway.records.reduceReadFailed
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.recoverCommon
 import org.gypsumroute.core.step
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ArrivalReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/ArrivalReducer.kt
@@ -1,7 +1,7 @@
 /*
  * Arrival of forwarded requests: finds the route, organisation, service and deadline.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.Failure
@@ -16,6 +16,11 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.countRefusal
+import org.gypsumroute.core.gateway.crashes.endBlocked
+import org.gypsumroute.core.gateway.crashes.findBlockedPart
+import org.gypsumroute.core.gateway.placement.RequestSize
+import org.gypsumroute.core.gateway.refusesNew
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/AttemptReducer.kt
@@ -1,7 +1,7 @@
 /*
  * Events of an attempt, and what follows its end: a retry, or the end of the request.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -14,6 +14,16 @@
 import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.countAttempt
+import org.gypsumroute.core.gateway.crashes.endBlocked
+import org.gypsumroute.core.gateway.crashes.findBlockedPart
+import org.gypsumroute.core.gateway.crashes.hasUnprovenPart
+import org.gypsumroute.core.gateway.crashes.noteAnswered
+import org.gypsumroute.core.gateway.crashes.noteConnectionLost
+import org.gypsumroute.core.gateway.endpoints.EndpointHealth
+import org.gypsumroute.core.gateway.endpoints.isPaused
+import org.gypsumroute.core.gateway.endsBeforeStop
+import org.gypsumroute.core.gateway.exchange.gatewayCount
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CallerLeftStage.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/CallerLeftStage.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 /** How far a request was when its caller closed the connection. */
 internal enum class CallerLeftStage(val code: String) {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardRecord.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/ForwardRecord.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentMap
@@ -17,6 +17,8 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.UnixTime
+import org.gypsumroute.core.gateway.placement.ForwardChoice
+import org.gypsumroute.core.gateway.placement.RequestSize
 
 /**
  * One open request of a caller.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/ForwardReducer.kt
@@ -6,7 +6,7 @@
  * its route allows its work to run again; a resumable stream then continues after the last event
  * that was passed on to the caller.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
@@ -14,6 +14,9 @@
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.countDroppedInput
+import org.gypsumroute.core.gateway.countRefusal
+import org.gypsumroute.core.gateway.endpoints.reduceEndpointStated
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestEndings.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/RequestEndings.kt
@@ -1,7 +1,7 @@
 /*
  * The ways in which a forwarded request ends.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.time.Duration
 import org.gypsumroute.api.AttemptOutcome
@@ -17,6 +17,10 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.ENDPOINT_FAILED
+import org.gypsumroute.core.gateway.SERVED
+import org.gypsumroute.core.gateway.countCallerLeft
+import org.gypsumroute.core.gateway.measureEnd
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ReservationReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/ReservationReducer.kt
@@ -5,7 +5,7 @@
  * a short time only and is renewed, so that a lost release or a crashed gateway leaves the memory
  * unused for no longer than that.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.ErrorKind
@@ -17,6 +17,10 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.crashes.endBlocked
+import org.gypsumroute.core.gateway.crashes.findBlockedPart
+import org.gypsumroute.core.gateway.endpoints.isStillValid
+import org.gypsumroute.core.gateway.placement.ForwardChoice
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryAfter.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/RetryAfter.kt
@@ -1,13 +1,18 @@
 /*
  * When a caller may send a request again that did not run.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.Moment
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.endpoints.timeUntilPauseEnds
+import org.gypsumroute.core.gateway.exchange.Member
+import org.gypsumroute.core.gateway.exchange.recentPeerReports
+import org.gypsumroute.core.gateway.exchange.reportsAt
+import org.gypsumroute.core.gateway.refusesNew
 
 /** Time after which a caller may send a request again that did not run. */
 val RETRY_AFTER: Duration = 500.milliseconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RetryBudget.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/RetryBudget.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/SendReducer.kt
@@ -1,7 +1,7 @@
 /*
  * Builds the input of placements and sends requests to the chosen endpoints.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.math.roundToInt
 import kotlin.time.Duration
@@ -20,6 +20,20 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.countRetry
+import org.gypsumroute.core.gateway.endpoints.EndpointState
+import org.gypsumroute.core.gateway.endpoints.EndpointWork
+import org.gypsumroute.core.gateway.endpoints.mayReceive
+import org.gypsumroute.core.gateway.exchange.gatewayCount
+import org.gypsumroute.core.gateway.exchange.mayKnowAllMembers
+import org.gypsumroute.core.gateway.exchange.minReportInterval
+import org.gypsumroute.core.gateway.exchange.recentPeerReports
+import org.gypsumroute.core.gateway.placement.EngineModel
+import org.gypsumroute.core.gateway.placement.ForwardCandidate
+import org.gypsumroute.core.gateway.placement.ForwardChoice
+import org.gypsumroute.core.gateway.placement.ForwardPlacementInput
+import org.gypsumroute.core.gateway.placement.toSeconds
+import org.gypsumroute.core.gateway.timeUntilStop
 import org.gypsumroute.core.logEffect
 
 /** The input of a placement for this request, with the loads of all gateways. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StallReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/StallReducer.kt
@@ -7,12 +7,14 @@
  * all other cases the attempt goes on until its endpoint ends it or the time of the request is
  * over.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.countStall
+import org.gypsumroute.core.gateway.placement.ForwardChoice
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/BlockedParts.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/crashes/BlockedParts.kt
@@ -6,7 +6,7 @@
  * the time of the block one request may try the part again. The gateways take turns at that, since
  * they would otherwise all try at the same time.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -18,6 +18,11 @@
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.attempts.ForwardRecord
+import org.gypsumroute.core.gateway.attempts.RETRY_AFTER
+import org.gypsumroute.core.gateway.attempts.endWithError
+import org.gypsumroute.core.gateway.attempts.endWithHeldFailure
+import org.gypsumroute.core.gateway.attempts.retryAfter
 import org.gypsumroute.core.rendezvousWeightOfHashes
 import org.gypsumroute.core.stableHash
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashCaution.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/crashes/CrashCaution.kt
@@ -6,13 +6,14 @@
  * series holds a single loss against the parts of its prompt, unless these were in a complete
  * answer since the gateway started.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.UnixTime
+import org.gypsumroute.core.gateway.endpoints.EndpointState
 
 /**
  * Caution that ends at [until]. [promptsServed] counts complete answers since the start, up to
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/crashes/CrashEvidence.kt
@@ -2,7 +2,7 @@
  * The evidence about all parts that a gateway knows of, from its own requests and from reports of
  * other gateways. Its size is bounded, and it is forgotten with time.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
@@ -16,6 +16,7 @@
 import org.gypsumroute.api.ReportedClearance
 import org.gypsumroute.api.ReportedLoss
 import org.gypsumroute.api.ReportedSuspicion
+import org.gypsumroute.core.gateway.attempts.send
 
 /** A part was in a complete answer at [at], which refuted [refuted] losses; [own] if seen here. */
 data class Clearance(val at: Moment, val refuted: Int, val own: Boolean)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/CrashReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/crashes/CrashReducer.kt
@@ -2,7 +2,7 @@
  * Requests whose prompt has a part that crashes endpoints: collects the evidence from the ends of
  * attempts and from the reports of other gateways.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,6 +20,8 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.attempts.Attempt
+import org.gypsumroute.core.gateway.attempts.ForwardRecord
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.stableHash
 import org.gypsumroute.core.step
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/Explanations.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/crashes/Explanations.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import org.gypsumroute.api.EndpointStart
 import org.gypsumroute.api.Moment
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PartEvidence.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/crashes/PartEvidence.kt
@@ -7,7 +7,7 @@
  * one after the other, while requests without it were served and none with it was. Losses at one
  * time, as in a power failure, or while nothing is served, as without a network, prove nothing.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.math.pow
 import kotlin.time.Duration
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ColdShare.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/ColdShare.kt
@@ -6,11 +6,13 @@
  * Therefore only so many gateways use a cold endpoint that each may send once a second or more. All
  * gateways choose the same ones by rendezvous hashing.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.attempts.send
+import org.gypsumroute.core.gateway.exchange.mayKnowAllMembers
 import org.gypsumroute.core.rendezvousWeight
 
 /** Requests per second that this gateway may send to a cold endpoint; 0 if others use it. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/Eligibility.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/Eligibility.kt
@@ -1,9 +1,11 @@
 /*
  * Which endpoints may get a request, whatever the choice among them.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.attempts.ForwardRecord
+import org.gypsumroute.core.gateway.placement.ForwardChoice
 
 /** Whether the request may be sent to the endpoint now. */
 internal fun mayReceive(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointHealth.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/EndpointHealth.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.math.pow
 import kotlin.time.Duration
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/EndpointState.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.time.Duration
 import kotlinx.collections.immutable.PersistentMap
@@ -8,6 +8,7 @@
 import org.gypsumroute.api.GapTolerance
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.RequestId
+import org.gypsumroute.core.gateway.placement.toSeconds
 
 /**
  * One published endpoint and the work that this gateway has sent there.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/LeavingMark.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/LeavingMark.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.UnixTime
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PauseReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/PauseReducer.kt
@@ -6,7 +6,7 @@
  * pause concerns this gateway only: the endpoint may still want the requests of others. It is no
  * failure of the endpoint.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.math.pow
 import kotlin.time.Duration
@@ -18,6 +18,7 @@
 import org.gypsumroute.api.StatementKind
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.attempts.ForwardRecord
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/SendWindow.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/SendWindow.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.math.ceil
 import kotlin.time.Duration
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
 import org.gypsumroute.api.Moment
+import org.gypsumroute.core.gateway.attempts.send
 
 /** The times of the latest sends to one endpoint. */
 data class SendWindow(private val sentAt: PersistentList<Moment> = persistentListOf()) {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatedLoadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/StatedLoadReducer.kt
@@ -2,12 +2,14 @@
  * Loads that endpoints state in their answers. They complete what the gateways know of each other's
  * work.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.EndpointLoadReport
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.attempts.knownLoad
+import org.gypsumroute.core.gateway.exchange.recentPeerReports
 import org.gypsumroute.core.step
 
 internal fun reduceLoadStated(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StatementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/StatementReducer.kt
@@ -5,7 +5,7 @@
  * newer start of it is published. For an answer, that is one that began after the statement. The
  * mark outlives the record, which may lapse and come back while the endpoint still runs.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
@@ -23,6 +23,7 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.UnixTime
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.crashes.windowOf
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.thenEach
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/exchange/ExchangeReducer.kt
@@ -3,7 +3,7 @@
  * that placements count the work of all gateways. A report is small and complete in itself, so it
  * may be lost; no decision waits for a report.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.exchange
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -24,6 +24,15 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.crashes.endCautionBeside
+import org.gypsumroute.core.gateway.crashes.reduceCrashReport
+import org.gypsumroute.core.gateway.endpoints.EndpointState
+import org.gypsumroute.core.gateway.endpoints.leavingReport
+import org.gypsumroute.core.gateway.endpoints.reduceReportedLeaving
+import org.gypsumroute.core.gateway.endpoints.withoutOldMarks
+import org.gypsumroute.core.gateway.endpoints.withoutOldPauses
+import org.gypsumroute.core.gateway.records.noteStoreHeard
+import org.gypsumroute.core.gateway.records.readFromPeerIfNewer
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ExchangeState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/exchange/ExchangeState.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.exchange
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EngineModel.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/placement/EngineModel.kt
@@ -7,7 +7,7 @@
  * emits one stream event. The pause between two events is therefore one pass, including the time
  * of all prompts read within it.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.placement
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.days
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EnginePlacement.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/placement/EnginePlacement.kt
@@ -13,7 +13,7 @@
  * The order then has groups of neighbours, several engines for each request that is placed between
  * two reports, and each request prefers the engines of a group in a random order of its own.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.placement
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/ForwardPlacements.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/placement/ForwardPlacements.kt
@@ -1,7 +1,7 @@
 /*
  * Placements of forwarded requests.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.placement
 
 import kotlin.time.Duration
 import org.gypsumroute.core.stableHash
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayPolicies.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/placement/GatewayPolicies.kt
@@ -1,7 +1,7 @@
 /*
  * The behaviour of a gateway that varies, as functions.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.placement
 
 import kotlin.time.Duration
 import org.gypsumroute.api.DataCentreId
@@ -10,6 +10,7 @@
 import org.gypsumroute.api.EngineLoad
 import org.gypsumroute.api.EngineProfile
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.gateway.endpoints.Backlog
 
 /** Chooses where a request goes, or null if no endpoint may take it now. */
 typealias ForwardPlacement = (ForwardPlacementInput) -> ForwardChoice?
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PlacementCosts.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/placement/PlacementCosts.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.placement
 
 /**
  * Weights and costs of a placement on engines. Costs are in units of [RequestSize.value]; shares
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RequestSize.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/placement/RequestSize.kt
@@ -1,7 +1,7 @@
 /*
  * The work that a request causes on an engine, and the value of its answer.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.placement
 
 import org.gypsumroute.api.RequestHead
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/EndpointRecords.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/EndpointRecords.kt
@@ -2,7 +2,7 @@
  * The records of endpoints: endpoints publish, change and remove them, and they lapse if they are
  * not renewed.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.records
 
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.EndpointRecord
@@ -12,6 +12,10 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.endpoints.EndpointState
+import org.gypsumroute.core.gateway.endpoints.contradictsLeaving
+import org.gypsumroute.core.gateway.endpoints.isLeaving
+import org.gypsumroute.core.gateway.endpoints.withPublishedLeaving
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.thenEach
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PeerRecordsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
@@ -1,7 +1,7 @@
 /*
  * Records that are read from another gateway while the store does not answer this one.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.records
 
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.HostId
@@ -10,6 +10,8 @@
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.exchange.Member
+import org.gypsumroute.core.gateway.exchange.reportsAt
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
@@ -2,7 +2,7 @@
  * Follows the published records: one full read of the store, then its changes as they are
  * published. While the store does not answer, the records that were read last stay in force.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.records
 
 import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.ForwardEffect
@@ -12,6 +12,7 @@
 import org.gypsumroute.api.Revision
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.crashes.beginCautiously
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/PublishedState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.records
 
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentSetOf
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/RouteIndex.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/RouteIndex.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.records
 
 import org.gypsumroute.api.OrganisationKeys
 import org.gypsumroute.api.Route
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StoreReadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
@@ -6,7 +6,7 @@
  * whose connection has died must not keep a change from being noticed in time, and a slow answer
  * must not be thrown away.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.records
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,6 +23,10 @@
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.READ_OVERDUE
+import org.gypsumroute.core.gateway.countRead
+import org.gypsumroute.core.gateway.exchange.gatewayCount
+import org.gypsumroute.core.gateway.placement.toSeconds
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.then
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/StoreReads.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReads.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.records
 
 import kotlin.time.Duration
 import org.gypsumroute.api.Moment
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayDrainTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayDrainTest.kt
@@ -19,6 +19,8 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.SettingsEvent
+import org.gypsumroute.core.gateway.attempts.RETRY_AFTER
+import org.gypsumroute.core.gateway.attempts.retryAfter
 
 class GatewayDrainTest {
     private val exit = RuntimeEffect.Exit(0)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -57,6 +57,10 @@
 import org.gypsumroute.core.NodeState
 import org.gypsumroute.core.Timings
 import org.gypsumroute.core.defaultPolicies
+import org.gypsumroute.core.gateway.exchange.ExchangeState
+import org.gypsumroute.core.gateway.placement.ForwardPlacement
+import org.gypsumroute.core.gateway.placement.ForwardPlacements
+import org.gypsumroute.core.gateway.placement.GatewayPolicies
 import org.gypsumroute.core.reduce
 
 /**
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPauseTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayPauseTest.kt
@@ -13,6 +13,7 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.gateway.exchange.gatewayCount
 
 class GatewayPauseTest {
     /** Guards against a retry for a caller that has left, caused by events queued in a pause. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayRecoveryTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayRecoveryTest.kt
@@ -20,6 +20,8 @@
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.core.gateway.attempts.retryAfter
+import org.gypsumroute.core.gateway.placement.ForwardPlacements
 import org.gypsumroute.core.reduce
 import org.gypsumroute.core.reduceOrRecover
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayRunChecks.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayRunChecks.kt
@@ -15,6 +15,8 @@
 import org.gypsumroute.api.ReservationId
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.core.gateway.endpoints.isLeaving
+import org.gypsumroute.core.gateway.endpoints.pausedUntil
 
 /** What callers and endpoints observe of a request. */
 internal class ModelRequest(val repetition: Repetition, val maxSends: Int) {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ArrivalReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/attempts/ArrivalReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -12,6 +12,15 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.WeightedService
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.plainService
+import org.gypsumroute.core.gateway.readyHarness
+import org.gypsumroute.core.gateway.records.RouteIndex
+import org.gypsumroute.core.gateway.routeOf
+import org.gypsumroute.core.gateway.tableOf
 
 class ArrivalReducerTest {
     /** Guards against a restarted gateway that denies requests before it has read the rules. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/AttemptReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/attempts/AttemptReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -16,6 +16,11 @@
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.RunState
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.readyHarness
 
 class AttemptReducerTest {
     /** A harness in which the allowance for retries has reached its full size. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ReservationReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/attempts/ReservationReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -15,6 +15,11 @@
 import org.gypsumroute.api.ReservationEvent
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.sampleTable
 
 class ReservationReducerTest {
     private fun GatewayHarness.reserves() = effects.filterIsInstance<ReservationEffect.Reserve>()
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RetryBudgetTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/attempts/RetryBudgetTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.random.Random
 import kotlin.test.Test
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StallReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/attempts/StallReducerTest.kt
@@ -3,7 +3,7 @@
  * again because its endpoint is slow, and against requests that wait for a dead endpoint although
  * another one could serve them.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.attempts
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -19,6 +19,11 @@
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.readyHarness
 
 class StallReducerTest {
     private val request = RequestId("1")
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/BlockedPartsTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/crashes/BlockedPartsTest.kt
@@ -2,7 +2,7 @@
  * Which requests are refused for a part of their prompt. Guards against sound requests that are
  * refused for what they have in common with the others.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -17,6 +17,7 @@
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ReservationEffect
 import org.gypsumroute.api.ReservationEvent
+import org.gypsumroute.core.gateway.headOf
 
 class BlockedPartsTest : PromptCrashFixture() {
     @Test
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashCautionTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/crashes/CrashCautionTest.kt
@@ -2,7 +2,7 @@
  * Gateways that all start again while requests crash endpoints. Guards against knowledge of a
  * crashing part that ends with the processes, so that endpoints have to end for it anew.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -18,6 +18,10 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.UnixTime
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.reportFrom
 
 class CrashCautionTest : PromptCrashFixture() {
     private val unixNow = 1_700_000_000_000
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashEvidenceTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/crashes/CrashEvidenceTest.kt
@@ -2,7 +2,7 @@
  * Evidence about many parts and of several gateways. Guards against a crashing part that is hidden
  * by others, and against losses that are reported once more after they were refuted.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -20,6 +20,8 @@
 import org.gypsumroute.api.ReportedLoss
 import org.gypsumroute.api.ReportedSuspicion
 import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.reportFrom
 
 class CrashEvidenceTest : PromptCrashFixture() {
     /** Guards against state that grows with the requests, and against floods that hide a part. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashLogTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/crashes/CrashLogTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -6,6 +6,11 @@
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.PromptPartId
 import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.readyHarness
 
 /** Guards against ends of endpoints that the logs do not connect with the requests on them. */
 class CrashLogTest {
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/CrashReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/crashes/CrashReducerTest.kt
@@ -2,7 +2,7 @@
  * Parts of prompts under which endpoints end. Guards against requests of one kind that crash one
  * endpoint after the other, and against sound requests that are refused for what others did.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -18,6 +18,8 @@
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.PromptPartId
 import org.gypsumroute.api.RunState
+import org.gypsumroute.core.gateway.attempts.retryAfter
+import org.gypsumroute.core.gateway.reportFrom
 
 class CrashReducerTest : PromptCrashFixture() {
     /** The incident: each request with the part ended one endpoint or two, without an end. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PartEvidenceTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/crashes/PartEvidenceTest.kt
@@ -2,7 +2,7 @@
  * What speaks against one part of prompts. Guards against evidence that vanishes or comes into
  * being by the order, the number or the delay of losses.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PromptCrashFixture.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/crashes/PromptCrashFixture.kt
@@ -1,7 +1,7 @@
 /*
  * A gateway with many engines, and requests with parts of prompts under which these end.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.crashes
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,6 +19,12 @@
 import org.gypsumroute.api.ReportedSuspicion
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.reportFrom
+import org.gypsumroute.core.gateway.sampleTable
 
 abstract class PromptCrashFixture {
     protected val shared = 1L
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ColdShareTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/endpoints/ColdShareTest.kt
@@ -3,7 +3,7 @@
  * back. Guards against gateways that each keep their share and together overload an endpoint, since
  * all of them send in the same second.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -13,6 +13,11 @@
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.Moment
+import org.gypsumroute.core.gateway.attempts.send
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.readyHarness
 
 class ColdShareTest {
     private val rate = 14.0
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/EndpointHealthTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/endpoints/EndpointHealthTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -7,6 +7,10 @@
 import kotlin.time.Duration.Companion.seconds
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.Moment
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.readyHarness
 
 class EndpointHealthTest {
     private val start = Moment(1000)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/EndpointPauseTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/endpoints/EndpointPauseTest.kt
@@ -2,7 +2,7 @@
  * Endpoints that turn requests away and ask for a pause. Guards against requests that reach them in
  * the pause, all at once after it, and against callers that are told to come back too early.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -22,6 +22,12 @@
 import org.gypsumroute.api.RunState
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.UnixTime
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.attempts.retryAfter
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.readyHarness
 
 class EndpointPauseTest {
     private val turnedAway = AttemptOutcome.NotRun(503, misdirected = false)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/LeavingMarkTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/endpoints/LeavingMarkTest.kt
@@ -2,7 +2,7 @@
  * Endpoints that state in an answer that they leave. Guards against requests that reach them
  * afterwards because a record, a full read of the store or an outage of it seems to say otherwise.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -27,6 +27,14 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.StatementKind
 import org.gypsumroute.api.UnixTime
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.attempts.send
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.readyHarness
+import org.gypsumroute.core.gateway.reportFrom
+import org.gypsumroute.core.gateway.sampleTable
 
 class LeavingMarkTest {
     private fun GatewayHarness.stateLeaving(id: String, start: Long? = 1) = feed(
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StatedLoadReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/endpoints/StatedLoadReducerTest.kt
@@ -1,7 +1,7 @@
 /*
  * Loads that endpoints state in their answers.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -17,6 +17,11 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.StatementKind
 import org.gypsumroute.api.UnixTime
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.attempts.send
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.readyHarness
+import org.gypsumroute.core.gateway.reportFrom
 
 class StatedLoadReducerTest {
     private val endpoint = EndpointId("e1")
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StatementPropertyTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/endpoints/StatementPropertyTest.kt
@@ -2,7 +2,7 @@
  * What endpoints state of themselves, in any order with records, reports and time. The test keeps
  * its own account of the statements, so that it does not repeat the reducer's view of them.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.endpoints
 
 import kotlin.random.Random
 import kotlin.test.Test
@@ -15,6 +15,10 @@
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.ReportedLeaving
 import org.gypsumroute.api.UnixTime
+import org.gypsumroute.core.gateway.attempts.send
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.readyHarness
+import org.gypsumroute.core.gateway.reportFrom
 
 class StatementPropertyTest {
     /** Guards against requests to endpoints that stated that they leave, or asked for a pause. */
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/ExchangeReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/exchange/ExchangeReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.exchange
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -15,6 +15,15 @@
 import org.gypsumroute.api.Metric
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.SettingsEvent
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.attempts.knownLoad
+import org.gypsumroute.core.gateway.attempts.placementInputFor
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.headOf
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.readyHarness
+import org.gypsumroute.core.gateway.reportFrom
+import org.gypsumroute.core.gateway.sampleBounds
 
 class ExchangeReducerTest {
     private val peer = EndpointAddress("10.0.0.2", 7000)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/EnginePlacementTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/placement/EnginePlacementTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.placement
 
 import kotlin.random.Random
 import kotlin.test.Test
@@ -16,6 +16,11 @@
 import org.gypsumroute.api.GapTolerance
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.Tokens
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.endpoints.Backlog
+import org.gypsumroute.core.gateway.homeDataCentre
+import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.sampleProfile
 
 class EnginePlacementTest {
     private val model = EngineModel(sampleProfile)
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PeerRecordsReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducerTest.kt
@@ -1,7 +1,7 @@
 /*
  * From which other gateway records are read while the store does not answer.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.records
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -11,6 +11,9 @@
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.Revision
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.readyHarness
+import org.gypsumroute.core.gateway.reportFrom
 
 class PeerRecordsReducerTest {
     private val harness = readyHarness(endpointOf("e1"))
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/PublishedReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/PublishedReducerTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.records
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -16,6 +16,11 @@
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.TableVersion
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.readyHarness
+import org.gypsumroute.core.gateway.reportFrom
+import org.gypsumroute.core.gateway.sampleTable
 
 class PublishedReducerTest {
     private fun GatewayHarness.knownEndpoints() = state.endpoints.keys.map { it.value }.toSet()
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/StoreReadReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducerTest.kt
@@ -1,7 +1,7 @@
 /*
  * When the store is read, with a stand-in of it in virtual time whose calls may get no answer.
  */
-package org.gypsumroute.core.gateway
+package org.gypsumroute.core.gateway.records
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -17,6 +17,12 @@
 import org.gypsumroute.api.ReadId
 import org.gypsumroute.api.Revision
 import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.core.gateway.GatewayHarness
+import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.readyHarness
+import org.gypsumroute.core.gateway.reportFrom
+import org.gypsumroute.core.gateway.sampleBounds
+import org.gypsumroute.core.gateway.sampleTable
 
 class StoreReadReducerTest {
     private val leaving = PublishedRecord.Endpoint(endpointOf("e1", leaving = true))
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/GatewaySimulation.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/GatewaySimulation.kt
@@ -45,11 +45,11 @@
 import org.gypsumroute.core.NodeIdentity
 import org.gypsumroute.core.Timings
 import org.gypsumroute.core.defaultPolicies
-import org.gypsumroute.core.gateway.ExchangeState
-import org.gypsumroute.core.gateway.ForwardPlacement
-import org.gypsumroute.core.gateway.GatewayPolicies
 import org.gypsumroute.core.gateway.KEY_DIGEST
+import org.gypsumroute.core.gateway.exchange.ExchangeState
 import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.placement.ForwardPlacement
+import org.gypsumroute.core.gateway.placement.GatewayPolicies
 import org.gypsumroute.core.gateway.routeOf
 import org.gypsumroute.core.gateway.sampleBounds
 import org.gypsumroute.core.gateway.tableOf
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/PlacementSimulationTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/PlacementSimulationTest.kt
@@ -2,8 +2,8 @@
 
 import kotlin.test.Test
 import kotlin.test.assertTrue
-import org.gypsumroute.core.gateway.ForwardPlacement
-import org.gypsumroute.core.gateway.ForwardPlacements
+import org.gypsumroute.core.gateway.placement.ForwardPlacement
+import org.gypsumroute.core.gateway.placement.ForwardPlacements
 
 class PlacementSimulationTest {
     private val seeds = 1L..8L
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/GatewayProcess.kt
@@ -28,9 +28,12 @@
 import org.gypsumroute.core.NodeIdentity
 import org.gypsumroute.core.Timings
 import org.gypsumroute.core.defaultPolicies
-import org.gypsumroute.core.gateway.ExchangeState
-import org.gypsumroute.core.gateway.ForwardPlacements
-import org.gypsumroute.core.gateway.GatewayPolicies
+import org.gypsumroute.core.gateway.exchange.ExchangeState
+import org.gypsumroute.core.gateway.placement.ForwardPlacements
+import org.gypsumroute.core.gateway.placement.GatewayPolicies
+import org.gypsumroute.gateway.exchange.ReportChannel
+import org.gypsumroute.gateway.forwarding.ForwardCodec
+import org.gypsumroute.gateway.forwarding.ForwardTraffic
 import org.gypsumroute.process.StopSignals
 import org.gypsumroute.process.newIncarnation
 import org.gypsumroute.process.runUntilStopped
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/BodyMemoryBudget.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/BodyMemoryBudget.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.callers
 
 /**
  * Limits the memory for bodies of callers' requests to [capacityBytes]. Used on the traffic event
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/CallerConnection.kt
@@ -2,7 +2,7 @@
  * The connection of one caller: receives requests one at a time and writes the responses. All of it
  * runs on the traffic event loop.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.callers
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -37,7 +37,10 @@
 import org.gypsumroute.api.CallerLimits
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.Failure
-import org.gypsumroute.core.gateway.RETRY_AFTER
+import org.gypsumroute.core.gateway.attempts.RETRY_AFTER
+import org.gypsumroute.gateway.endpoints.BytesReceived
+import org.gypsumroute.gateway.forwarding.ForwardExchange
+import org.gypsumroute.gateway.forwarding.ForwardTraffic
 
 /** Serves one connection and passes each complete request to [traffic]. */
 internal class CallerConnection(private val traffic: ForwardTraffic) :
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/CallerServer.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/CallerServer.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.callers
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.AdaptiveRecvByteBufAllocator
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
 import java.net.InetSocketAddress
+import org.gypsumroute.gateway.endpoints.BytesReceivedHandler
+import org.gypsumroute.gateway.forwarding.ForwardTraffic
 
 /** Listens for callers' connections. */
 internal class CallerServer(private val loop: EventLoopGroup, private val traffic: ForwardTraffic) {
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/PipelinedInput.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/PipelinedInput.kt
@@ -1,9 +1,10 @@
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.callers
 
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.gypsumroute.gateway.forwarding.first
 
 /**
  * Parts of pipelined requests, which wait until the request before them has its response. They
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/RefusalAnswer.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/RefusalAnswer.kt
@@ -1,7 +1,7 @@
 /*
  * Headers and body of error responses that the gateway itself sends.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.callers
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/RequestLine.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/RequestLine.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.callers
 
 /**
  * Method and target of a request. [target] is the text that the caller sent: path and query, or an
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/AnswerMemoryBudget.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/AnswerMemoryBudget.kt
@@ -2,7 +2,7 @@
  * Limits the memory for answers that are kept until they are complete. Each of them has a limit of
  * its own, but endpoints in trouble may send that much to very many requests at one time.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 /**
  * Keeps the memory of all readers of responses below [capacityBytes]: if there is too little, the
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointAttempt.kt
@@ -3,7 +3,7 @@
  * time, and reads the response. Reports exactly one outcome unless it is abandoned. Silence does
  * not end it, but is reported, so that the control thread can decide.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -25,6 +25,9 @@
 import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.ForwardTarget
 import org.gypsumroute.api.Repetition
+import org.gypsumroute.gateway.forwarding.ForwardExchange
+import org.gypsumroute.gateway.forwarding.ForwardTraffic
+import org.gypsumroute.gateway.forwarding.first
 
 /** An attempt. [deadline] is the moment at which the time of the request is over. */
 internal class EndpointAttempt(
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnection.kt
@@ -2,7 +2,7 @@
  * One connection to an endpoint. It carries one request at a time and is reused only after a
  * complete response that belonged to its request, if no other response was passed over before.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -27,6 +27,8 @@
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.UnexpectedInput
+import org.gypsumroute.gateway.forwarding.ForwardCodec
+import org.gypsumroute.gateway.forwarding.first
 
 /** Reads responses for the attempt that currently uses the connection. */
 internal class EndpointConnection(
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EndpointConnections.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnections.kt
@@ -2,7 +2,7 @@
  * Connections to endpoints. Idle connections are reused for later requests and closed before the
  * endpoint would close them.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.ChannelFuture
@@ -18,6 +18,7 @@
 import kotlin.time.Duration
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.UnexpectedInput
+import org.gypsumroute.gateway.forwarding.ForwardCodec
 
 /**
  * Opens connections and stores idle ones. All functions run on the traffic event loop, and call
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/EventSplitter.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EventSplitter.kt
@@ -2,11 +2,12 @@
  * Splits a stream of server-sent events after each event, so that a stream that is cut inside an
  * event can be resumed at another endpoint after the last complete event.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.util.ByteProcessor
+import org.gypsumroute.gateway.forwarding.first
 
 /** Buffers the bytes of a stream and returns them in complete events. */
 internal class EventSplitter {
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/JoinedResponses.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/JoinedResponses.kt
@@ -5,7 +5,7 @@
  * it off. Its beginning then becomes a part of the head of the next response, whose status line
  * ends up in the reason phrase or in a header.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import io.netty.handler.codec.http.HttpResponse
 
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseDecoder.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseDecoder.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseHead.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseHead.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointStatement
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
@@ -2,7 +2,7 @@
  * Reads one response of an endpoint. Event streams are forwarded event by event. Other responses
  * are buffered until they are complete, so that another attempt can replace a truncated one.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -16,6 +16,10 @@
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 import org.gypsumroute.api.AttemptOutcome
+import org.gypsumroute.gateway.forwarding.BufferedResponse
+import org.gypsumroute.gateway.forwarding.ForwardTraffic
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.forwardedHeaders
 
 /** Buffers or forwards the response that starts with [response]. */
 internal class ResponseReader(
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ReportChannel.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/exchange/ReportChannel.kt
@@ -4,7 +4,7 @@
  * The socket uses the traffic event loop. Ktor's datagram socket runs its selector on a separate
  * thread, and with it a gateway on one processor took up to a second to receive a datagram.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.exchange
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ConnectionHeaders.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/forwarding/ConnectionHeaders.kt
@@ -1,7 +1,7 @@
 /*
  * Hop-by-hop headers, which concern one connection only and are never forwarded.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.forwarding
 
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaderNames
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardCodec.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/forwarding/ForwardCodec.kt
@@ -2,11 +2,13 @@
  * Functions of a platform's adapter that read and write its HTTP headers. The traffic code itself
  * knows only the standard headers of HTTP and of event streams.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.forwarding
 
 import kotlin.time.Duration
 import org.gypsumroute.api.ForwardTarget
 import org.gypsumroute.api.RequestHead
+import org.gypsumroute.gateway.callers.RequestLine
+import org.gypsumroute.gateway.endpoints.ResponseHead
 
 /** Returns the values of all header fields with a name, in order. */
 typealias HeaderLookup = (String) -> List<String>
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardExchange.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/forwarding/ForwardExchange.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.forwarding
 
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
@@ -6,6 +6,10 @@
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.RequestHead
 import org.gypsumroute.api.RequestId
+import org.gypsumroute.gateway.callers.CallerConnection
+import org.gypsumroute.gateway.callers.ReceivedRequest
+import org.gypsumroute.gateway.callers.RequestLine
+import org.gypsumroute.gateway.endpoints.EndpointAttempt
 
 /**
  * A caller's request from its arrival to the end of its response. The body is kept for the whole
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/ForwardTraffic.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/forwarding/ForwardTraffic.kt
@@ -2,7 +2,7 @@
  * The traffic of a gateway: callers' requests and the attempts to serve them at endpoints.
  * Everything here runs on one event loop and therefore needs no locks.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.forwarding
 
 import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
@@ -25,6 +25,13 @@
 import org.gypsumroute.api.ForwardTarget
 import org.gypsumroute.api.RequestHead
 import org.gypsumroute.api.RequestId
+import org.gypsumroute.gateway.callers.BodyMemoryBudget
+import org.gypsumroute.gateway.callers.CallerConnection
+import org.gypsumroute.gateway.callers.CallerServer
+import org.gypsumroute.gateway.callers.ReceivedRequest
+import org.gypsumroute.gateway.endpoints.AnswerMemoryBudget
+import org.gypsumroute.gateway.endpoints.EndpointAttempt
+import org.gypsumroute.gateway.endpoints.EndpointConnections
 import org.gypsumroute.runtime.EventSink
 
 /** Executes [ForwardEffect]s and emits [ForwardEvent]s. */
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallerConnectionTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/callers/CallerConnectionTest.kt
@@ -1,7 +1,7 @@
 /*
  * Limits on callers' requests, and the responses to requests that violate them.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.callers
 
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -20,6 +20,9 @@
 import org.gypsumroute.api.Failure
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.get
 
 class CallerConnectionTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CallersGoneTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/callers/CallersGoneTest.kt
@@ -1,7 +1,7 @@
 /*
  * Callers that close their connection while the gateway is too busy to read from it.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.callers
 
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
@@ -16,6 +16,12 @@
 import org.gypsumroute.api.Failure
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.gateway.forwarding.RawConnection
+import org.gypsumroute.gateway.forwarding.StubEndpoint
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.responseTo
 
 class CallersGoneTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/PipeliningTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/callers/PipeliningTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.callers
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
@@ -20,6 +20,9 @@
 import kotlin.test.assertFalse
 import org.gypsumroute.api.Event
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.gateway.forwarding.ForwardTraffic
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.testCodec
 
 /** A connection whose writes complete only when the test says so, as with a slow caller. */
 class PipeliningTest {
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/PlannedStopTrafficTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/callers/PlannedStopTrafficTest.kt
@@ -1,7 +1,7 @@
 /*
  * What a planned stop does to the connections of callers.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.callers
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -12,6 +12,10 @@
 import org.gypsumroute.api.Failure
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.responseTo
 
 class PlannedStopTrafficTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ConnectionLostTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/ConnectionLostTest.kt
@@ -2,7 +2,7 @@
  * Which ends of attempts count as a lost connection. Guards against ends of endpoints that are
  * taken for unusable answers, and the other way round.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -10,6 +10,11 @@
 import kotlin.test.assertIs
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.gateway.forwarding.RawConnection
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.chunk
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.streamHeadFor
 
 class ConnectionLostTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/CutAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/CutAnswerTest.kt
@@ -3,7 +3,7 @@
  * connection. Guards against callers that get such an answer as a whole one, and against ends of
  * endpoints that do not count as lost connections.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -11,6 +11,13 @@
 import kotlin.test.assertIs
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.gateway.forwarding.RawConnection
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.chunk
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.responseTo
+import org.gypsumroute.gateway.forwarding.streamHeadFor
 
 class CutAnswerTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/EndlessBytesTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/EndlessBytesTest.kt
@@ -2,7 +2,7 @@
  * Peers that send bytes without end in the place of a message. Guards against memory that grows
  * with them, and against requests that wait for their end.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.test.AfterTest
@@ -16,6 +16,12 @@
 import org.gypsumroute.api.CallerLimits
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.gateway.forwarding.RawConnection
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.chunk
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.responseTo
 
 class EndlessBytesTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ResumedAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/ResumedAnswerTest.kt
@@ -3,7 +3,7 @@
  * the text or the head of another answer in the middle of their stream, or a stream that broke off
  * and looks complete.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -18,6 +18,12 @@
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.RunState
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.chunk
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.responseTo
+import org.gypsumroute.gateway.forwarding.streamHeadFor
 
 class ResumedAnswerTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/SplitAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/SplitAnswerTest.kt
@@ -3,7 +3,7 @@
  * second copies of them, with the connection kept. Guards against an answer whose meaning depends
  * on how it is cut into packets, and against a request that is answered with a copy of another's.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -16,6 +16,14 @@
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.RequestId
+import org.gypsumroute.gateway.forwarding.RawConnection
+import org.gypsumroute.gateway.forwarding.StubEndpoint
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.chunk
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.responseTo
+import org.gypsumroute.gateway.forwarding.streamHeadFor
 
 class SplitAnswerTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/StaleRefusalTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/StaleRefusalTest.kt
@@ -2,7 +2,7 @@
  * Refusals that an endpoint writes once more on a kept connection. Guards against callers that are
  * told that a request did not run while an endpoint runs it, and against second runs of it.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -14,6 +14,13 @@
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.Repetition
+import org.gypsumroute.gateway.forwarding.RawConnection
+import org.gypsumroute.gateway.forwarding.StubEndpoint
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.chunk
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.responseTo
 
 class StaleRefusalTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/StalledAttemptTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/StalledAttemptTest.kt
@@ -2,7 +2,7 @@
  * Attempts that are silent for longer than their limit. Guards against streams that are cut because
  * their endpoint is slow, and against requests that a byte now and then keeps alive.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -16,6 +16,13 @@
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.gateway.forwarding.RawConnection
+import org.gypsumroute.gateway.forwarding.StubEndpoint
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.chunk
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.streamHeadFor
 
 class StalledAttemptTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/StatementsTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/StatementsTest.kt
@@ -2,7 +2,7 @@
  * What endpoints state of themselves in the heads of their answers. Guards against a statement that
  * is heard only in some kinds of answers, or that is held against another endpoint.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -11,6 +11,10 @@
 import kotlin.test.assertTrue
 import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.chunk
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.responseTo
 
 class StatementsTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TornAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/TornAnswerTest.kt
@@ -3,7 +3,7 @@
  * byte. Guards against bytes of one answer that become a part of the next: a request that runs
  * again because it seems refused, and a failure that reaches its caller as a success.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -18,6 +18,9 @@
 import org.gypsumroute.api.ForwardEvent
 import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.UnexpectedInput
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.get
+import org.gypsumroute.gateway.forwarding.responseTo
 
 class TornAnswerTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/UnframedAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/UnframedAnswerTest.kt
@@ -2,7 +2,7 @@
  * Answers that have neither a length nor chunks and end with their connection. Guards against
  * answers that broke off and count as complete, and against complete ones that count as broken.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.endpoints
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -15,6 +15,10 @@
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.ForwardEffect
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.gateway.forwarding.RawConnection
+import org.gypsumroute.gateway.forwarding.TrafficFixture
+import org.gypsumroute.gateway.forwarding.first
+import org.gypsumroute.gateway.forwarding.get
 
 class UnframedAnswerTest {
     private val fixture = TrafficFixture()
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/ForwardingTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/ForwardingTest.kt
@@ -1,7 +1,7 @@
 /*
  * What endpoints and callers receive when a request with a single response is forwarded.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.forwarding
 
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/StreamingTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/StreamingTest.kt
@@ -1,7 +1,7 @@
 /*
  * Forwarding of event streams from endpoints to callers.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.forwarding
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/TrafficFixture.kt
@@ -2,7 +2,7 @@
  * Runs a gateway's traffic between raw sockets on loopback. The test takes the place of the
  * reducer.
  */
-package org.gypsumroute.gateway
+package org.gypsumroute.gateway.forwarding
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -34,6 +34,7 @@
 import org.gypsumroute.api.RequestHead
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.UnixTime
+import org.gypsumroute.gateway.endpoints.ResponseHead
 
 /** Gateway traffic with short header names, which keep the tests readable. */
 internal class TrafficFixture : AutoCloseable {
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
@@ -51,9 +51,9 @@
 import org.gypsumroute.core.NodeIdentity
 import org.gypsumroute.core.Timings
 import org.gypsumroute.core.defaultPolicies
-import org.gypsumroute.core.gateway.ExchangeState
-import org.gypsumroute.core.gateway.ForwardPlacements
-import org.gypsumroute.core.gateway.GatewayPolicies
+import org.gypsumroute.core.gateway.exchange.ExchangeState
+import org.gypsumroute.core.gateway.placement.ForwardPlacements
+import org.gypsumroute.core.gateway.placement.GatewayPolicies
 import org.gypsumroute.wire.encodeReport
 
 /** Microseconds per short request, from arrival to end, with [engines] engines of its service. */
