--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/CallerConnection.kt
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.DefaultLastHttpContent
-import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
@@ -128,12 +127,8 @@
     }
 
     /** Sends a response with a complete body. */
-    fun sendResponse(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
-        val response =
-            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, TRAILERS)
-        if (!isBodiless(status)) HttpUtil.setContentLength(response, body.readableBytes().toLong())
-        finish(response)
-    }
+    fun sendResponse(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) =
+        finish(wholeResponse(status, headers, body))
 
     /**
      * Starts a response of unknown length: chunked for HTTP/1.1, else ended by closing the
@@ -167,14 +162,7 @@
     }
 
     /** Sends an error response of the gateway itself. */
-    fun refuse(failure: Failure) {
-        val headers = refusalHeaders(failure)
-        sendResponse(
-            HttpResponseStatus.valueOf(failure.kind.httpStatus),
-            headers,
-            refusalBody(failure)
-        )
-    }
+    fun refuse(failure: Failure) = finish(refusalResponse(failure))
 
     /**
      * Closes the connection unless a request is being received or served. A request that the socket
@@ -205,17 +193,9 @@
         version = message.protocolVersion()
         keepAlive = HttpUtil.isKeepAlive(message)
         requestStarted = true
-        val length = HttpUtil.getContentLength(message, 0L)
-        if (length > limits.maxBodyBytes) {
-            refuseAndClose(ErrorKind.BODY_TOO_LARGE, "body of $length bytes")
-            return
-        }
-        if (!traffic.bodyMemory.hasCapacity(length)) {
-            refuseAndClose(ErrorKind.OVERLOADED, "no room for a body of $length bytes")
-            return
-        }
-        if (!isForwardable(message.uri())) {
-            refuseAndClose(ErrorKind.MALFORMED_REQUEST, "request target")
+        val rejection = rejectionOf(message, limits, traffic.bodyMemory)
+        if (rejection != null) {
+            refuseAndClose(rejection.kind, rejection.detail)
             return
         }
         if (HttpUtil.is100ContinueExpected(message)) {
@@ -327,13 +307,8 @@
                 kind == ErrorKind.OVERLOADED || kind == ErrorKind.DRAINING
             }
         )
-        val headers = refusalHeaders(failure)
-        headers[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
-        val status = HttpResponseStatus.valueOf(kind.httpStatus)
-        val body = refusalBody(failure)
-        val response =
-            DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, headers, TRAILERS)
-        HttpUtil.setContentLength(response, body.readableBytes().toLong())
+        val response = refusalResponse(failure)
+        response.headers()[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
         traffic.requestRejected(failure)
         setTimeout(limits.idleTimeout) { channel.close() }
         channel.writeAndFlush(response).addListener { closeAfterInput() }
@@ -370,17 +345,5 @@
 
         /** A body that takes longer is refused, whatever time its caller states. */
         val MAX_BODY_TIME = 60.seconds
-        val TRAILERS = EmptyHttpHeaders.INSTANCE
     }
 }
-
-/**
- * Whether the request target has printable ASCII characters only. Only such a target can be
- * forwarded byte for byte.
- */
-private fun isForwardable(target: String): Boolean =
-    target.isNotEmpty() && target.all { it in '!'..'~' }
-
-private fun isBodiless(status: HttpResponseStatus): Boolean =
-    status.code() == HttpResponseStatus.NO_CONTENT.code() ||
-        status.code() == HttpResponseStatus.NOT_MODIFIED.code()
--- /dev/null
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/RequestRejection.kt
@@ -0,0 +1,40 @@
+/*
+ * Which requests are read at all, by their head.
+ */
+package org.gypsumroute.gateway.callers
+
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpUtil
+import org.gypsumroute.api.CallerLimits
+import org.gypsumroute.api.ErrorKind
+
+/** Why a request is refused before its body is read. */
+internal class RequestRejection(val kind: ErrorKind, val detail: String)
+
+/** Returns why the request is refused by its head, or null if its body may be read. */
+internal fun rejectionOf(
+    message: HttpRequest,
+    limits: CallerLimits,
+    bodyMemory: BodyMemoryBudget
+): RequestRejection? {
+    val length = HttpUtil.getContentLength(message, 0L)
+    return when {
+        length > limits.maxBodyBytes ->
+            RequestRejection(ErrorKind.BODY_TOO_LARGE, "body of $length bytes")
+
+        !bodyMemory.hasCapacity(length) ->
+            RequestRejection(ErrorKind.OVERLOADED, "no room for a body of $length bytes")
+
+        !isForwardable(message.uri()) ->
+            RequestRejection(ErrorKind.MALFORMED_REQUEST, "request target")
+
+        else -> null
+    }
+}
+
+/**
+ * Whether the request target has printable ASCII characters only. Only such a target can be
+ * forwarded byte for byte.
+ */
+private fun isForwardable(target: String): Boolean =
+    target.isNotEmpty() && target.all { it in '!'..'~' }
