--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/StatementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/StatementReducer.kt
@@ -136,7 +136,7 @@
             countBelieved(if (mark.own) StatementKind.LEAVING.code else "leaving_reported")
         )
 
-        mark.startedAt != known?.startedAt -> marked.step(countOutdated(mark))
+        mark.startedAt != known.startedAt -> marked.step(countOutdated(mark))
 
         else -> marked.step()
     }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/GatewaySimulation.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/GatewaySimulation.kt
@@ -15,7 +15,6 @@
 import org.gypsumroute.api.Effect
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointId
-import org.gypsumroute.api.EndpointRecord
 import org.gypsumroute.api.Event
 import org.gypsumroute.api.ExchangeEffect
 import org.gypsumroute.api.ExchangeEvent
@@ -28,13 +27,11 @@
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.RegionId
-import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.RequestHead
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ReservationEffect
 import org.gypsumroute.api.ReservationEvent
 import org.gypsumroute.api.Revision
-import org.gypsumroute.api.Route
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.TimerId
@@ -47,10 +44,8 @@
 import org.gypsumroute.core.defaultPolicies
 import org.gypsumroute.core.gateway.KEY_DIGEST
 import org.gypsumroute.core.gateway.exchange.ExchangeState
-import org.gypsumroute.core.gateway.modelService
 import org.gypsumroute.core.gateway.placement.ForwardPlacement
 import org.gypsumroute.core.gateway.placement.GatewayPolicies
-import org.gypsumroute.core.gateway.routeOf
 import org.gypsumroute.core.gateway.sampleBounds
 import org.gypsumroute.core.gateway.tableOf
 import org.gypsumroute.core.reduce
@@ -69,7 +64,9 @@
     private val engines = (0 until deployment.engines).associate { index ->
         EndpointId("i-${mix(seed * 1000 + index)}") to SimulatedEngine(deployment.profile, clock)
     }
-    private val records = engines.keys.mapIndexed { index, id -> recordOf(index, id) }
+    private val records = engines.keys.mapIndexed { index, id ->
+        engineRecord(deployment, index, id)
+    }
     private val gateways =
         (0 until deployment.dataCentres * deployment.gatewaysPerDataCentre).map { Gateway(it) }
     val results = kinds.associate { it.name to KindResults() }
@@ -126,25 +123,6 @@
         return exp(ln(mean) - variance / 2 + sqrt(variance) * random.nextGaussian())
     }
 
-    private fun recordOf(index: Int, id: EndpointId) = EndpointRecord(
-        id = id,
-        service = modelService,
-        address = EndpointAddress(id.value, 80),
-        dataCentre = DataCentreId("d${index % deployment.dataCentres}"),
-        slots = deployment.profile.slots,
-        leaving = false,
-        coldRemaining = Duration.ZERO,
-        startedAt = UnixTime(1)
-    )
-
-    private fun routes(): List<Route> = kinds.map { kind ->
-        routeOf("/${kind.name}/", modelService, Repetition.RESUMABLE, streaming = true).copy(
-            timeout = kind.deadline,
-            objective = kind.objective,
-            gapObjective = kind.gap
-        )
-    }
-
     /** A caller with one request. */
     private inner class Caller(
         private val kind: RequestKind,
@@ -272,7 +250,7 @@
 
         fun start() {
             feed(RuntimeEvent.Started)
-            val table = PublishedRecord.Table(tableOf(1, *routes().toTypedArray()))
+            val table = PublishedRecord.Table(tableOf(1, *routesOf(kinds).toTypedArray()))
             feed(
                 PublishedEvent.SnapshotRead(
                     state.published.reads.latest,
