Show that a reset answer without a length is taken for complete

Cause: while a part of a request is still to be written, a reset of the connection shows as a failed write. Netty then closes the channel without exceptionCaught, and the decoder ends an answer without a length as at the end of the connection.

--- a/review/stand-ins-2/kotlin/standins/Main.kt
+++ b/review/stand-ins-2/kotlin/standins/Main.kt
@@ -14,7 +14,8 @@
 internal class Run(val record: Record, val folder: Path, val withDisruption: Boolean)
 
 private val cases: Map<String, (Run) -> Verdict> = mapOf(
-    "long-ids" to ::longIds
+    "long-ids" to ::longIds,
+    "reset-answer" to ::resetAnswer
 )
 
 fun main(arguments: Array<String>) {
