Show that blank lines without end stop a gateway

Cause: blank lines in an event stream count as complete events, so no limit applies to them. Each chunk is forwarded with a flush of its own, and one connection may be read 16 times in a turn of the event loop that all connections share.

--- a/review/stand-ins-2/kotlin/standins/Main.kt
+++ b/review/stand-ins-2/kotlin/standins/Main.kt
@@ -15,7 +15,8 @@
 
 private val cases: Map<String, (Run) -> Verdict> = mapOf(
     "long-ids" to ::longIds,
-    "reset-answer" to ::resetAnswer
+    "reset-answer" to ::resetAnswer,
+    "endless-answer" to ::endlessAnswer
 )
 
 fun main(arguments: Array<String>) {
