Show that odd heads of legal size stop a gateway

Cause: the options of the Connection header are kept in a list, and each header field is looked up in it, on the event loop of all connections. A head of 16,000 bytes takes 7.6 million comparisons of strings.

--- a/review/stand-ins-2/kotlin/standins/Main.kt
+++ b/review/stand-ins-2/kotlin/standins/Main.kt
@@ -16,7 +16,8 @@
 private val cases: Map<String, (Run) -> Verdict> = mapOf(
     "long-ids" to ::longIds,
     "reset-answer" to ::resetAnswer,
-    "endless-answer" to ::endlessAnswer
+    "endless-answer" to ::endlessAnswer,
+    "odd-heads" to ::oddHeads
 )
 
 fun main(arguments: Array<String>) {
