End a stream's attempt by the lack of events, whatever else arrives

The attempt was never replaced, and the head of its answer was sent although no event had come.

So it restarted the time limit of the attempt, began the answer, and emptied the buffer whose size is the only limit on such a body.

Change: a block of lines is an event only if it has data. Other blocks reach the caller between two events, as comments should, but neither begin nor take over an answer, nor restart its time limit; more than 1 MiB without an event ends the attempt. A stream of events that are far apart goes on as before. EventSplitter looks at each byte once.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EventSplitter.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EventSplitter.kt
@@ -1,18 +1,34 @@
 /*
  * Splits a stream of server-sent events after each event, so that a stream that is cut inside an
  * event can be resumed at another endpoint after the last complete event.
+ *
+ * A blank line ends a block of lines. Only a block with data is an event; comments, blocks of other
+ * fields and blank lines alone tell nothing to the caller's application, so that a stream of them
+ * makes no progress.
  */
 package org.gypsumroute.gateway.endpoints
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.util.ByteProcessor
-import org.gypsumroute.gateway.forwarding.first
 
-/** Buffers the bytes of a stream and returns them in complete events. */
+/** Buffers the bytes of a stream and returns them in complete blocks. */
 internal class EventSplitter {
     private var pending: ByteBuf = Unpooled.buffer(INITIAL_BUFFER_BYTES)
 
+    /** Start of the first line that [scan] has not seen whole. */
+    private var lineStart = 0
+
+    /** Where the lines begin that belong to no complete block. */
+    private var blockStart = 0
+    private var blockHasLines = false
+    private var blockHasData = false
+    private var blockId: String? = null
+
+    /** End of the last complete event, counted from the start of the stream. */
+    private var lastEventEnd = 0L
+    private var takenBytes = 0L
+
     /** Id of the first event that has one, as text from the stream; null before. */
     var firstEventId: String? = null
         private set
@@ -21,35 +37,55 @@
     var lastEventId: String? = null
         private set
 
-    /** Number of bytes of the incomplete event that is buffered. */
+    /** Number of bytes that are buffered. */
     val bufferedBytes: Int get() = pending.readableBytes()
 
     /** Memory that the buffer takes. */
     val capacityBytes: Int get() = pending.capacity()
 
-    /** Whether bytes of an incomplete event are buffered. Blank lines alone are no event. */
-    val hasPartialEvent: Boolean get() = pending.forEachByte(BLANK_LINES) >= 0
+    /** Number of bytes that came after the last complete event. */
+    val bytesWithoutEvent: Long get() = takenBytes + pending.writerIndex() - lastEventEnd
+
+    /** Whether a complete event is buffered. */
+    val hasEvent: Boolean get() = lastEventEnd > takenBytes
 
-    /**
-     * Adds bytes and returns all events that are complete now, or null if there are none. The
-     * caller has to release the returned buffer.
-     */
-    fun add(bytes: ByteBuf): ByteBuf? {
-        val firstNew = pending.writerIndex()
+    /** Whether bytes of an incomplete block are buffered. Blank lines alone are none. */
+    val hasPartialEvent: Boolean
+        get() = blockHasLines ||
+            pending.forEachByte(lineStart, pending.writerIndex() - lineStart, BLANK_LINES) >= 0
+
+    /** Adds bytes, which [scan] looks at. */
+    fun add(bytes: ByteBuf) {
         pending.writeBytes(bytes)
-        val end = endOfLastEvent(firstNew)
-        if (end < 0) return null
-        val complete = pending.readRetainedSlice(end - pending.readerIndex())
-        recordIds(complete)
+    }
+
+    /** Finds the events that are complete now. Looks at each byte once. */
+    fun scan() {
+        while (true) {
+            val lineFeed = pending.indexOf(lineStart, pending.writerIndex(), LINE_FEED)
+            if (lineFeed < 0) return
+            readLine(lineStart, lineFeed)
+            lineStart = lineFeed + 1
+            if (!blockHasLines) blockStart = lineStart
+        }
+    }
+
+    /** Returns all complete blocks, which the caller has to release; null if there are none. */
+    fun takeBlocks(): ByteBuf? {
+        if (blockStart == 0) return null
+        val blocks = pending.readRetainedSlice(blockStart)
         val remaining = Unpooled.buffer(maxOf(INITIAL_BUFFER_BYTES, pending.readableBytes()))
         remaining.writeBytes(pending)
         pending.release()
         pending = remaining
-        return complete
+        takenBytes += blockStart
+        lineStart -= blockStart
+        blockStart = 0
+        return blocks
     }
 
-    /** Returns the blank lines that followed the last event; the caller has to release them. */
-    fun takeTrailingBlankLines(): ByteBuf = pending.readRetainedSlice(pending.readableBytes())
+    /** Returns what follows the last event if no event is incomplete; it has to be released. */
+    fun takeRest(): ByteBuf = pending.readRetainedSlice(pending.readableBytes())
 
     /** Releases the buffer. */
     fun release() {
@@ -57,41 +93,49 @@
         pending = Unpooled.EMPTY_BUFFER
     }
 
-    /**
-     * Returns the index after the last blank line, which ends an event, or -1. Only a blank line
-     * that ends at [firstNew] or later can be there, since earlier ones were found before.
-     */
-    private fun endOfLastEvent(firstNew: Int): Int {
-        var index = pending.writerIndex() - 1
-        while (index > pending.readerIndex() && index >= firstNew) {
-            if (pending.getByte(index) == LINE_FEED && endsBlankLine(index)) return index + 1
-            index--
+    private fun readLine(start: Int, lineFeed: Int) {
+        val endsWithReturn = lineFeed > start && pending.getByte(lineFeed - 1) == CARRIAGE_RETURN
+        val end = if (endsWithReturn) lineFeed - 1 else lineFeed
+        if (end == start) {
+            endBlock(lineFeed + 1)
+            return
+        }
+        blockHasLines = true
+        when {
+            isField(start, end, DATA_FIELD) -> blockHasData = true
+            isField(start, end, ID_FIELD) -> blockId = valueOf(start + ID_FIELD.length, end)
         }
-        return -1
     }
 
-    private fun endsBlankLine(index: Int): Boolean {
-        val before = pending.getByte(index - 1)
-        if (before == LINE_FEED) return true
-        return before == CARRIAGE_RETURN && index - 2 >= pending.readerIndex() &&
-            pending.getByte(index - 2) == LINE_FEED
+    private fun endBlock(end: Int) {
+        if (blockHasData) lastEventEnd = takenBytes + end
+        blockId?.let {
+            firstEventId = firstEventId ?: it
+            lastEventId = it
+        }
+        blockHasLines = false
+        blockHasData = false
+        blockId = null
     }
 
-    private fun recordIds(events: ByteBuf) {
-        val ids = events.toString(Charsets.UTF_8).lineSequence()
-            .filter { it.startsWith(ID_FIELD) }
-            .map { it.removePrefix(ID_FIELD).removePrefix(" ") }
-            .toList()
-        if (ids.isEmpty()) return
-        firstEventId = firstEventId ?: ids.first()
-        lastEventId = ids.last()
+    /** Whether a line is the field [name], which a colon separates from its value. */
+    private fun isField(start: Int, end: Int, name: String): Boolean {
+        val nameEnd = start + name.length
+        if (nameEnd > end || (nameEnd < end && pending.getByte(nameEnd) != COLON)) return false
+        return name.indices.all { pending.getByte(start + it) == name[it].code.toByte() }
     }
 
+    /** The value behind the name of a field; a space after the colon does not belong to it. */
+    private fun valueOf(nameEnd: Int, end: Int): String =
+        pending.toString(nameEnd, end - nameEnd, Charsets.UTF_8).removePrefix(":").removePrefix(" ")
+
     private companion object {
         const val INITIAL_BUFFER_BYTES = 512
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
-        const val ID_FIELD = "id:"
+        const val COLON = ':'.code.toByte()
+        const val DATA_FIELD = "data"
+        const val ID_FIELD = "id"
 
         /** Returns false for the first byte that belongs to no blank line. */
         val BLANK_LINES = ByteProcessor { it == LINE_FEED || it == CARRIAGE_RETURN }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
@@ -55,24 +55,24 @@
 
     /** Processes the next bytes of the body. */
     fun add(bytes: ByteBuf) {
-        when {
-            eventSplitter != null -> eventSplitter.add(bytes)?.let {
-                forwardEvents(eventSplitter, it)
-            }
-
-            relaying -> {
-                attempt.bytesReceived(bytes.readableBytes())
-                exchange.caller.sendPart(bytes.retainedSlice())
-            }
+        if (eventSplitter != null) {
+            eventSplitter.add(bytes)
+        } else {
+            attempt.bytesReceived(bytes.readableBytes())
+            bufferedBody.writeBytes(bytes)
+        }
+        forward()
+        traffic.answerMemory.update(this, eventSplitter?.capacityBytes ?: bufferedBody.capacity())
+    }
 
-            else -> {
-                attempt.bytesReceived(bytes.readableBytes())
-                bufferedBody.writeBytes(bytes)
-                if (bufferedBody.readableBytes() > MAX_BUFFERED_BYTES && success) startRelay()
-            }
+    /** Passes on what has arrived and may be passed on. */
+    private fun forward() {
+        when {
+            rejection != null -> return
+            eventSplitter != null -> forwardStream(eventSplitter)
+            relaying -> relayBuffered()
+            success && bufferedBytes > MAX_BUFFERED_BYTES -> startRelay()
         }
-        val held = eventSplitter?.capacityBytes ?: bufferedBody.capacity()
-        traffic.answerMemory.update(this, held)
     }
 
     /**
@@ -97,11 +97,14 @@
             else -> null
         }
 
-    /** Whether more is buffered than any valid answer needs. */
+    private val bufferedBytes: Int
+        get() = eventSplitter?.bufferedBytes ?: bufferedBody.readableBytes()
+
+    /** Whether more has come than any valid answer or event needs. */
     private val isOversized: Boolean
         get() {
-            val bufferedBytes = eventSplitter?.bufferedBytes ?: bufferedBody.readableBytes()
-            return bufferedBytes > MAX_BUFFERED_BYTES && !relaying
+            if (eventSplitter != null) return eventSplitter.bytesWithoutEvent > MAX_BUFFERED_BYTES
+            return !success && bufferedBytes > MAX_BUFFERED_BYTES
         }
 
     /**
@@ -168,7 +171,7 @@
         else -> {
             traffic.takeOver(attempt)
             startResponse()
-            exchange.caller.sendPart(splitter.takeTrailingBlankLines())
+            exchange.caller.sendPart(splitter.takeRest())
             exchange.caller.endResponse()
             AttemptOutcome.Completed(status.code(), longestPause)
         }
@@ -187,23 +190,37 @@
         return AttemptOutcome.Failed(status.code())
     }
 
-    private fun forwardEvents(splitter: EventSplitter, complete: ByteBuf) {
+    private fun forwardStream(splitter: EventSplitter) {
+        splitter.scan()
+        when {
+            splitter.hasEvent -> forwardEvents(splitter)
+
+            // Comments keep the caller's connection alive, but never begin or take over an answer.
+            deliveryStarted && exchange.attempts.size == 1 -> sendBlocks(splitter)
+        }
+    }
+
+    private fun forwardEvents(splitter: EventSplitter) {
         val first = !deliveryStarted
         if (first && resumesAnswer && !follows(splitter.firstEventId, exchange.lastEventId)) {
             repeatsEvents = true
-            complete.release()
             return
         }
         traffic.takeOver(attempt)
         startResponse()
         deliveryStarted = true
-        exchange.lastEventId = splitter.lastEventId ?: exchange.lastEventId
-        exchange.caller.sendPart(complete)
+        sendBlocks(splitter)
         recordPause()
         attempt.restartTimeout()
         if (first) traffic.streamStarted(attempt)
     }
 
+    private fun sendBlocks(splitter: EventSplitter) {
+        val blocks = splitter.takeBlocks() ?: return
+        exchange.lastEventId = splitter.lastEventId ?: exchange.lastEventId
+        exchange.caller.sendPart(blocks)
+    }
+
     private fun recordPause() {
         lastForwardedAt?.let { longestPause = maxOf(longestPause, it.elapsedNow()) }
         lastForwardedAt = TimeSource.Monotonic.markNow()
@@ -213,11 +230,17 @@
         relaying = true
         deliveryStarted = true
         startResponse()
-        exchange.caller.sendPart(bufferedBody)
-        bufferedBody = Unpooled.EMPTY_BUFFER
+        relayBuffered()
         traffic.streamStarted(attempt)
     }
 
+    private fun relayBuffered() {
+        if (!bufferedBody.isReadable) return
+        val part = bufferedBody
+        bufferedBody = Unpooled.buffer(0)
+        exchange.caller.sendPart(part)
+    }
+
     private fun startResponse() {
         if (exchange.responseStarted) return
         exchange.responseStarted = true
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/EventSplitterTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/EventSplitterTest.kt
@@ -4,13 +4,21 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 
 class EventSplitterTest {
-    private fun EventSplitter.addText(text: String): String =
-        add(Unpooled.copiedBuffer(text, Charsets.UTF_8))?.toString(Charsets.UTF_8).orEmpty()
+    private fun EventSplitter.addBytes(text: String) {
+        add(Unpooled.copiedBuffer(text, Charsets.UTF_8))
+        scan()
+    }
+
+    private fun EventSplitter.addText(text: String): String {
+        addBytes(text)
+        return takeBlocks()?.toString(Charsets.UTF_8).orEmpty()
+    }
 
     @Test
     fun `an event is returned once its terminating blank line has arrived`() {
@@ -28,6 +36,21 @@
         assertEquals("1", splitter.lastEventId)
     }
 
+    /** Guards against blocks that are counted as events although no application sees them. */
+    @Test
+    fun `a block without data is returned and is no event`() {
+        for (text in listOf("\n\n", "\r\n", ": a\n\n", "event: a\nid: 3\n\n", "database: a\n\n")) {
+            val splitter = EventSplitter()
+            splitter.addBytes(text)
+            assertFalse(splitter.hasEvent, text)
+            assertFalse(splitter.hasPartialEvent, text)
+            assertEquals(text.length.toLong(), splitter.bytesWithoutEvent)
+            assertEquals(text + "data\n\n", splitter.addText("data\n\n: b"))
+            assertEquals(": b".length.toLong(), splitter.bytesWithoutEvent)
+            assertTrue(splitter.hasPartialEvent, text)
+        }
+    }
+
     /** Guards against events that are lost or duplicated when a read ends inside an event. */
     @Property(tries = 300)
     fun `a stream yields the same events however it is split into reads`(@ForAll seed: Long) {
