Bound what one connection costs the event loop in a turn

Cause: all connections share one event loop. Every chunk of a stream was a write to its caller's socket, and a connection was read up to 16 times 64 KiB before the others had their turn, whatever the work in it: some 150,000 chunks of 7 bytes.

Change: what arrives within one read is passed on with one write, also for a large success that is relayed. ReadTurn ends the turn of a connection after the read in which it had 256 messages; large chunks never reach that. It holds for callers too, who may send bodies in chunks of one byte.

Evidence: StreamingTest `events that arrive together are passed on together` got 1001 parts on.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/CallerConnection.kt
@@ -38,10 +38,11 @@
 import org.gypsumroute.gateway.forwarding.ForwardExchange
 import org.gypsumroute.gateway.forwarding.ForwardTraffic
 import org.gypsumroute.gateway.forwarding.HeaderBlock
+import org.gypsumroute.gateway.forwarding.ReadTurn
 import org.gypsumroute.gateway.forwarding.forwardedHeaders
 
 /** Serves one connection and passes each complete request to [traffic]. */
-internal class CallerConnection(private val traffic: ForwardTraffic) :
+internal class CallerConnection(private val traffic: ForwardTraffic, private val turn: ReadTurn) :
     ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private var receiving: ReceivedRequest? = null
@@ -95,6 +96,7 @@
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        turn.messageRead()
         if (closing || message !is HttpObject) {
             ReferenceCountUtil.release(message)
             return
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/CallerServer.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/CallerServer.kt
@@ -1,7 +1,6 @@
 package org.gypsumroute.gateway.callers
 
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -11,6 +10,7 @@
 import java.net.InetSocketAddress
 import org.gypsumroute.gateway.endpoints.BytesReceivedHandler
 import org.gypsumroute.gateway.forwarding.ForwardTraffic
+import org.gypsumroute.gateway.forwarding.ReadTurn
 
 /** Listens for callers' connections. */
 internal class CallerServer(private val loop: EventLoopGroup, private val traffic: ForwardTraffic) {
@@ -23,7 +23,6 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, readsUntilEmpty())
             .childHandler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) = addHandlers(channel)
@@ -40,7 +39,10 @@
     }
 
     private fun addHandlers(channel: SocketChannel) {
-        val connection = CallerConnection(traffic)
+        // Reads on, so that a close behind a request is seen together with the request.
+        val turn = ReadTurn(readsUntilEmpty = true)
+        channel.config().setRecvByteBufAllocator(turn)
+        val connection = CallerConnection(traffic, turn)
         channel.pipeline().addLast(
             BytesReceivedHandler,
             CallerCodec(connection, traffic.limits.maxHeaderBytes),
@@ -48,18 +50,7 @@
         )
     }
 
-    /**
-     * Reads on after a read that did not fill its buffer, so that a close behind a request is seen
-     * together with the request.
-     */
-    private fun readsUntilEmpty() = AdaptiveRecvByteBufAllocator()
-        .respectMaybeMoreData(false)
-        .maxMessagesPerRead(MAX_READS_IN_TURN)
-
     private companion object {
         const val BACKLOG = 1024
-
-        /** Reads from one caller before the others have their turn. */
-        const val MAX_READS_IN_TURN = 16
     }
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnection.kt
@@ -28,13 +28,15 @@
 import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.UnexpectedInput
 import org.gypsumroute.gateway.forwarding.ForwardCodec
+import org.gypsumroute.gateway.forwarding.ReadTurn
 import org.gypsumroute.gateway.forwarding.first
 
 /** Reads responses for the attempt that currently uses the connection. */
 internal class EndpointConnection(
     val address: EndpointAddress,
     private val codec: ForwardCodec,
-    private val connections: EndpointConnections
+    private val connections: EndpointConnections,
+    private val turn: ReadTurn
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
     private var attempt: EndpointAttempt? = null
@@ -121,6 +123,7 @@
     }
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        turn.messageRead()
         val current = attempt
         if (current == null || message !is HttpObject) {
             ReferenceCountUtil.release(message)
@@ -139,7 +142,8 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        attempt?.responseReader?.flush()
+        attempt?.responseReader?.forward()
+        if (!rejectResponse()) attempt?.responseReader?.applyBackpressure()
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
@@ -210,6 +214,7 @@
             }
             if (failure != null) return
             current.responseReader?.add(content.content())
+            if (content is LastHttpContent) current.responseReader?.forward()
         } finally {
             content.release()
         }
@@ -250,6 +255,7 @@
     }
 
     private fun fail(current: EndpointAttempt, cause: String, connectionLost: Boolean = false) {
+        current.responseReader?.forward()
         attempt = null
         failure = failure ?: cause
         channel.close()
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnections.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnections.kt
@@ -19,6 +19,7 @@
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.UnexpectedInput
 import org.gypsumroute.gateway.forwarding.ForwardCodec
+import org.gypsumroute.gateway.forwarding.ReadTurn
 
 /**
  * Opens connections and stores idle ones. All functions run on the traffic event loop, and call
@@ -56,11 +57,13 @@
      * Opens a connection and calls [onResult] with it, or with null and the cause of the failure.
      */
     fun open(address: EndpointAddress, onResult: (EndpointConnection?, String) -> Unit) {
-        val connection = EndpointConnection(address, codec, this)
+        val turn = ReadTurn(readsUntilEmpty = false)
+        val connection = EndpointConnection(address, codec, this, turn)
         val opening: ChannelFuture = bootstrap.clone()
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
+                        channel.config().setRecvByteBufAllocator(turn)
                         channel.pipeline()
                             .addLast(HttpRequestEncoder(), ResponseDecoder(connection), connection)
                     }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
@@ -53,7 +53,7 @@
     var deliveryStarted = false
         private set
 
-    /** Processes the next bytes of the body. */
+    /** Takes the next bytes of the body, which [forward] passes on. */
     fun add(bytes: ByteBuf) {
         if (eventSplitter != null) {
             eventSplitter.add(bytes)
@@ -61,12 +61,15 @@
             attempt.bytesReceived(bytes.readableBytes())
             bufferedBody.writeBytes(bytes)
         }
-        forward()
+        if (bufferedBytes >= MAX_UNFORWARDED_BYTES) forward()
         traffic.answerMemory.update(this, eventSplitter?.capacityBytes ?: bufferedBody.capacity())
     }
 
-    /** Passes on what has arrived and may be passed on. */
-    private fun forward() {
+    /**
+     * Passes on what has arrived and may be passed on. Called after each read from the connection
+     * and not for each chunk, since every part that is passed on costs a write to a socket.
+     */
+    fun forward() {
         when {
             rejection != null -> return
             eventSplitter != null -> forwardStream(eventSplitter)
@@ -111,7 +114,7 @@
      * Applies backpressure: stops reading from the endpoint while too much is unsent to the caller.
      * Called after each read from the endpoint's connection.
      */
-    fun flush() {
+    fun applyBackpressure() {
         val unsent = exchange.caller.unsentBytes
         val isSlow = unsent > MAX_UNSENT_BYTES ||
             (unsent > MIN_UNSENT_BYTES && traffic.callersAreSlow)
@@ -276,6 +279,9 @@
          */
         const val MAX_BUFFERED_BYTES = 1024 * 1024
 
+        /** What arrives within one read is passed on in parts of about this size. */
+        const val MAX_UNFORWARDED_BYTES = 64 * 1024
+
         /** Unsent bytes to the caller above which reading from the endpoint pauses. */
         const val MAX_UNSENT_BYTES = 512L * 1024
 
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/callers/PipeliningTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/callers/PipeliningTest.kt
@@ -23,6 +23,7 @@
 import org.gypsumroute.gateway.forwarding.ForwardTraffic
 import org.gypsumroute.gateway.forwarding.HEAP_BYTES
 import org.gypsumroute.gateway.forwarding.MAX_CALLERS
+import org.gypsumroute.gateway.forwarding.ReadTurn
 import org.gypsumroute.gateway.forwarding.first
 import org.gypsumroute.gateway.forwarding.testCodec
 
@@ -46,7 +47,7 @@
             events +=
                 it
         }
-    private val caller = CallerConnection(traffic)
+    private val caller = CallerConnection(traffic, ReadTurn(readsUntilEmpty = false))
     private val writes = HeldWrites()
 
     init {
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/StreamingTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/StreamingTest.kt
@@ -94,6 +94,25 @@
         assertIs<AttemptOutcome.Lost>(fixture.awaitAttemptEnd(arrived.request).outcome)
     }
 
+    /** Each chunk was a write to the caller's socket, which took the time of all connections. */
+    @Test
+    fun `events that arrive together are passed on together`() {
+        val events = (1..EVENTS_AT_ONCE).map { "id: $it\ndata: a\n\n" }
+        val endpoint = fixture.endpoint { }
+        val caller = fixture.call(get("1"))
+        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+        fixture.send(arrived, endpoint.address, streaming = true)
+        val upstream = endpoint.connections.take()
+        upstream.readMessage()
+        fixture.whileLoopIsOccupied {
+            upstream.write(streamHeadFor("1") + events.joinToString("") { chunk(it) } + "0\r\n\r\n")
+        }
+        val received = caller.readTo("\r\n0\r\n\r\n")
+        assertTrue(events.all { it in received }, received)
+        val parts = Regex("\r\n[0-9a-f]+\r\n").findAll(received).count()
+        assertTrue(parts < EVENTS_AT_ONCE / 20, "$parts parts")
+    }
+
     /** Guards against unbounded buffering for a caller that does not read. */
     @Test
     fun `a caller that does not read causes backpressure on the endpoint`() {
@@ -115,4 +134,8 @@
         assertEquals(before, written)
         assertTrue(written < 500, "$written")
     }
+
+    private companion object {
+        const val EVENTS_AT_ONCE = 1000
+    }
 }
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/TrafficFixture.kt
@@ -4,6 +4,7 @@
  */
 package org.gypsumroute.gateway.forwarding
 
+import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import java.io.InputStream
@@ -81,19 +82,7 @@
     }
 
     /** Runs [action] while the event loop is occupied, so that all its input stays unread. */
-    fun whileLoopIsOccupied(action: () -> Unit) {
-        val occupied = CountDownLatch(1)
-        val done = CountDownLatch(1)
-        loop.execute {
-            occupied.countDown()
-            done.await()
-        }
-        occupied.await()
-        action()
-        // Segments that are under way reach the sockets of the loop.
-        Thread.sleep(SETTLE_MILLISECONDS)
-        done.countDown()
-    }
+    fun whileLoopIsOccupied(action: () -> Unit) = loop.whileOccupied(action)
 
     fun call(request: String): RawConnection =
         RawConnection(Socket(InetAddress.getLoopbackAddress(), port)).also {
@@ -165,6 +154,21 @@
     }
 }
 
+/** Runs [action] while the loop is occupied. */
+internal fun EventLoopGroup.whileOccupied(action: () -> Unit) {
+    val occupied = CountDownLatch(1)
+    val done = CountDownLatch(1)
+    execute {
+        occupied.countDown()
+        done.await()
+    }
+    occupied.await()
+    action()
+    // Segments that are under way reach the sockets of the loop.
+    Thread.sleep(TrafficFixture.SETTLE_MILLISECONDS)
+    done.countDown()
+}
+
 /** An endpoint that runs [script] for each connection and records the connections. */
 internal class StubEndpoint(
     private val script: (RawConnection) -> Unit,
