Take only the endpoint's own close for the end of an answer without a length

A stream that was reset between two events ended as complete, and so did a long answer that was passed on already.

Cause: the decoder takes any end of the connection for the end of such a body. While the request is still being written, a reset shows first as a failed write; Netty then closes the channel without an exception, and the end that the decoder reports reached finish(). Only a reset that shows as a failed read was told apart.

Change: the channel allows half-closure, so that the endpoint's close is an event of its own, and only that completes the body. All other ends (a failed write, a reset, a close by the gateway or by its end) break the answer off. If the request is not written by then, the answer waits for that: a process that crashes with an empty receive buffer closes in the same way and resets what comes later. Connections that the endpoint has closed are not used again, as before.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
@@ -51,8 +52,18 @@
     private var informational = false
     private var keepsOpen = false
 
+    /**
+     * Whether the endpoint has closed its side in order. A reset, a failed write and a close by the
+     * gateway end the connection without it.
+     */
+    private var endpointClosed = false
+
     /** Whether the connection may carry another request after the response to the current one. */
-    private val isReusable: Boolean get() = keepsOpen && !passedOver && channel.isActive
+    private val isReusable: Boolean
+        get() = keepsOpen && !passedOver && !endpointClosed && channel.isActive
+
+    /** Whether the response is complete if the rest of the request can be written. */
+    private var awaitsRequestWrite = false
     private var failure: String? = null
     private var idleSince = TimeSource.Monotonic.markNow()
     private var idleTimeout: ScheduledFuture<*>? = null
@@ -65,7 +76,8 @@
     val awaitsResponse: Boolean get() = attempt != null
 
     /** Whether the connection is open, free, and received nothing unexpected. */
-    val isUsable: Boolean get() = channel.isActive && attempt == null && failure == null
+    val isUsable: Boolean
+        get() = channel.isActive && !endpointClosed && attempt == null && failure == null
 
     /** Time since the connection was opened or became idle. */
     val idleTime: Duration get() = idleSince.elapsedNow()
@@ -141,6 +153,20 @@
         if (message is HttpContent) readContent(current, message)
     }
 
+    /** Called when the endpoint has closed its side, before what it completes is decoded. */
+    fun closedByEndpoint() {
+        endpointClosed = true
+    }
+
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event !== ChannelInputShutdownEvent.INSTANCE) return
+        val current = attempt
+        when {
+            current == null -> channel.close()
+            !awaitsRequestWrite -> fail(current, "connection closed", connectionLost = true)
+        }
+    }
+
     override fun channelReadComplete(context: ChannelHandlerContext) {
         attempt?.responseReader?.forward()
         if (!rejectResponse()) attempt?.responseReader?.applyBackpressure()
@@ -219,7 +245,39 @@
             content.release()
         }
         if (rejectResponse()) return
-        if (content is LastHttpContent && failure == null) finish(current)
+        if (content is LastHttpContent && failure == null) endResponse(current)
+    }
+
+    /**
+     * Finishes a response whose end was decoded. The decoder takes any end of the connection for
+     * the end of a body without a length, but only the endpoint's own close completes it: what
+     * another end cuts off is reported as broken off when the connection is closed.
+     */
+    private fun endResponse(current: EndpointAttempt) {
+        val isFramed = current.responseReader?.endsWithConnection != true
+        when {
+            isFramed -> finish(current)
+
+            endpointClosed -> finishAfterRequestWrite(current)
+
+            // The response has no body, such as one to a HEAD request.
+            channel.isActive -> finish(current)
+        }
+    }
+
+    /**
+     * Finishes a response that ended with the endpoint's close once the request is written. An
+     * endpoint that crashes may close in the same way, but then resets the rest of the request.
+     */
+    private fun finishAfterRequestWrite(current: EndpointAttempt) {
+        awaitsRequestWrite = true
+        requestWrite?.addListener {
+            when {
+                attempt !== current -> Unit
+                it.isSuccess -> finish(current)
+                else -> fail(current, "connection closed", connectionLost = true)
+            }
+        }
     }
 
     /** Gives up the attempt if its response is rejected; returns whether it is. */
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnections.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnections.kt
@@ -33,6 +33,8 @@
     private val idle = HashMap<EndpointAddress, ArrayDeque<EndpointConnection>>()
     private val bootstrap = Bootstrap().group(loop)
         .channel(NioSocketChannel::class.java)
+        // Tells a close by the endpoint from all other ends of the connection.
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseDecoder.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseDecoder.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
 
@@ -14,6 +15,12 @@
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         connection.nextResponseIsBodiless || super.isContentAlwaysEmpty(message)
 
+    /** Tells [connection] of the endpoint's close before the body that it completes is decoded. */
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event === ChannelInputShutdownEvent.INSTANCE) connection.closedByEndpoint()
+        super.userEventTriggered(context, event)
+    }
+
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
         if (connection.awaitsResponse) {
             super.decode(context, input, output)
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
@@ -31,7 +31,9 @@
     private val status: HttpResponseStatus = response.status()
     private val headers: HttpHeaders = forwardedHeaders(response.headers())
     private val exchange = attempt.exchange
-    private val endsWithConnection =
+
+    /** Whether the body, if there is one, ends where the endpoint closes the connection. */
+    val endsWithConnection =
         !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
     private val isStream = attempt.target.streaming && mayBeEventStream(response.headers())
 
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/UnframedAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/UnframedAnswerTest.kt
@@ -166,4 +166,21 @@
             }
         }
     }
+
+    /** Guards against answers that wait for the end of their connection although they have no body. */
+    @Test
+    fun `an answer that cannot have a body is complete without a length`() {
+        for ((method, status) in listOf("HEAD" to "200 OK", "GET" to "204 No Content")) {
+            val endpoint = fixture.endpoint {
+                it.readMessage()
+                it.write("HTTP/1.1 $status\r\nX-Id: 1\r\nX-Signature: s\r\n\r\n")
+            }
+            val caller = fixture.call(get("1").replace("GET", method))
+            val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
+            fixture.send(arrived, endpoint.address)
+            val outcome = fixture.awaitAttemptEnd(arrived.request).outcome
+            assertIs<AttemptOutcome.Completed>(outcome, method)
+            assertContains(caller.readMessage(), "X-Signature: s")
+        }
+    }
 }
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/TrafficFixture.kt
@@ -142,6 +142,11 @@
     fun awaitAttemptEnd(request: RequestId): ForwardEvent.AttemptEnded =
         nextEvent<ForwardEvent.AttemptEnded>().also { check(it.request == request) }
 
+    /** Ends the event loop, which closes all connections of the gateway. */
+    fun endLoop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly()
+    }
+
     override fun close() {
         openResources.forEach { it.close() }
         loop.shutdownGracefully(0, 0, TimeUnit.SECONDS)
@@ -221,6 +226,9 @@
         }
     }
 
+    /** Reads this number of bytes, or up to the end of the connection. */
+    fun readBytes(count: Int): ByteArray = input.readNBytes(count)
+
     /** Reads headers and, if they have a Content-Length, the body. */
     fun readMessage(): String {
         val head = readTo("\r\n\r\n")
