Take no reset answer for complete in the agents' HTTP client

OkHttp passes over a failed write of the request and reads the answer. The failed write has taken the reset from the socket, so that the next read finds the end of the stream, which ends such a body.

Change: a response that ends with its connection is a failure if its request could not be written. One with a length or in chunks counts as before.

--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
@@ -43,10 +43,14 @@
     fun header(name: String): String? = headers[name]
 }
 
-/** Tag of a call that records whether writing of its request has started. */
+/** Tag of a call that records how far the writing of its request came. */
 internal class RequestProgress {
     @Volatile
     var writeStarted: Boolean = false
+
+    /** Whether a part of the request could not be written. */
+    @Volatile
+    var writeFailed: Boolean = false
 }
 
 /**
@@ -184,6 +188,7 @@
     limit: Long,
     onProgress: () -> Unit
 ): Either<ClientFailure, HttpResponse> = try {
+    requireOrderlyEnd(response)
     val body = Buffer()
     val source = response.body.source()
     var nextReport = PROGRESS_BYTES
@@ -202,6 +207,17 @@
     ClientFailure.Broken(describe(failure), answering = true).left()
 }
 
+/**
+ * Throws if the response ends with its connection and its request could not be written. OkHttp goes
+ * on to read the answer then, and the end of a connection that was reset looks like a close.
+ */
+private fun requireOrderlyEnd(response: Response) {
+    val isFramed = response.body.contentLength() >= 0 ||
+        response.header("Transfer-Encoding").equals("chunked", ignoreCase = true)
+    val writeFailed = response.request.tag(RequestProgress::class.java)?.writeFailed == true
+    if (writeFailed && !isFramed) throw IOException("connection lost before the request was read")
+}
+
 /** Removes `Retry-After`, because OkHttp repeats a call whose response is 503 with a value of 0. */
 private object RetryAfterRemover : Interceptor {
     override fun intercept(chain: Interceptor.Chain): Response =
@@ -212,6 +228,10 @@
     override fun requestHeadersStart(call: Call) {
         call.request().tag(RequestProgress::class.java)?.writeStarted = true
     }
+
+    override fun requestFailed(call: Call, ioe: IOException) {
+        call.request().tag(RequestProgress::class.java)?.writeFailed = true
+    }
 }
 
 /** Progress is reported after each part of a body of this size. */
--- a/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/SingleAttemptHttpClientTest.kt
+++ b/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/SingleAttemptHttpClientTest.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
@@ -111,6 +112,42 @@
             }
     }
 
+    /** The failed write was passed over and the end of the connection taken for that of the body. */
+    @Test
+    fun `an answer that is reset while its request is written is broken`() {
+        for (head in listOf("", "Connection: close\r\n")) {
+            assertIs<ClientFailure.Broken>(callWithEarlyAnswer("HTTP/1.1 200 OK\r\n$head\r\npart"))
+        }
+    }
+
+    /** Guards against answers that are dropped because their server did not need the request. */
+    @Test
+    fun `an answer with its whole length counts although its request cannot be written`() {
+        val answer = "HTTP/1.1 403 Forbidden\r\nContent-Length: 2\r\n\r\nno"
+        assertEquals("no", callWithEarlyAnswer(answer))
+    }
+
+    /** Returns the body that a client gets, or else the failure, if [answer] comes early. */
+    private fun callWithEarlyAnswer(answer: String): Any? {
+        val listener = ServerSocket()
+        listener.receiveBufferSize = RECEIVE_BUFFER_BYTES
+        listener.bind(InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0))
+        return listener.use {
+            thread(isDaemon = true) {
+                val socket = listener.accept()
+                socket.getInputStream().read()
+                socket.getOutputStream().write(answer.encodeToByteArray())
+                Thread.sleep(PAUSE_MS)
+                // Closing a connection with unread bytes resets it.
+                socket.close()
+            }
+            val client = PlainServiceClient("127.0.0.1:${listener.localPort}", timeouts)
+            val outcome = runBlocking { client.call("/orders", listOf(ByteArray(BODY_BYTES))) }
+            client.close()
+            outcome.fold({ it }, { it.body.decodeToString() })
+        }
+    }
+
     private fun requestTo(address: String) =
         Request.Builder().url(urlBuilderFor(address, "/").build()).build()
 
@@ -234,5 +271,10 @@
 
     private companion object {
         const val MAX_BYTES = 1024L
+        const val PAUSE_MS = 200L
+
+        /** More than the kernel's buffers take. */
+        const val BODY_BYTES = 8_000_000
+        const val RECEIVE_BUFFER_BYTES = 16 * 1024
     }
 }
