Take an answer whose status HTTP does not know for none

What such an answer stated of its endpoint, for example that it leaves or has not run the request, was believed.

Cause: the class of such a number is unknown to the decoder, and what is neither a success nor in the list of statuses that promise something was taken for a failure of the endpoint that may be passed on.

Change: only 200 to 599 can be an answer; any other status, and a switch of protocols, which the gateway never asks for, ends the attempt as one that may have run, and counts against the endpoint like other bytes that are no HTTP. Answers to other requests are passed over as before. The HTTP client of the agents and of the store returns such a response as malformed.

--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
@@ -96,7 +96,7 @@
         onProgress: () -> Unit = {}
     ): Either<ClientFailure, HttpResponse> = suspendCancellableCoroutine { continuation ->
         val call = start(request) { outcome ->
-            val read = outcome.flatMap {
+            val read = outcome.flatMap(::finalResponse).flatMap {
                 onProgress()
                 readBody(it, maxBytes, onProgress)
             }
@@ -154,6 +154,14 @@
 /** Whether a response with this status is a success, which is any 2xx. */
 internal fun isSuccessStatus(status: Int): Boolean = status in SUCCESS_STATUSES
 
+/** This response if its status is one that HTTP knows for the answer to a request. */
+private fun finalResponse(response: Response): Either<ClientFailure, Response> =
+    if (response.code in FINAL_STATUSES) {
+        response.right()
+    } else {
+        ClientFailure.Malformed("status ${response.code}").left()
+    }
+
 /** This response, or [ClientFailure.ErrorStatus] if its status is not a success. */
 fun HttpResponse.errorStatusAsFailure(): Either<ClientFailure, HttpResponse> =
     if (isSuccessStatus(status)) right() else ClientFailure.ErrorStatus(status, text).left()
@@ -237,3 +245,4 @@
 /** Progress is reported after each part of a body of this size. */
 private const val PROGRESS_BYTES = 64L * 1024
 private val SUCCESS_STATUSES = 200..299
+private val FINAL_STATUSES = 200..599
--- a/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/SingleAttemptHttpClientTest.kt
+++ b/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/SingleAttemptHttpClientTest.kt
@@ -127,6 +127,15 @@
         assertEquals("no", callWithEarlyAnswer(answer))
     }
 
+    /** Such a status was returned, and passed on to the caller of the service. */
+    @Test
+    fun `an answer with a status that HTTP does not know is malformed`() {
+        for (status in listOf("000", "001", "099", "101", "600", "999")) {
+            val answer = "HTTP/1.1 $status Odd\r\nContent-Length: 2\r\n\r\nno"
+            assertIs<ClientFailure.Malformed>(callWithEarlyAnswer(answer), status)
+        }
+    }
+
     /** Returns the body that a client gets, or else the failure, if [answer] comes early. */
     private fun callWithEarlyAnswer(answer: String): Any? {
         val listener = ServerSocket()
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnection.kt
@@ -190,14 +190,19 @@
             fail(current, "joined from two answers")
             return
         }
-        informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        val status = response.status().code()
+        informational = isInterimStatus(status)
         if (informational) return
-        val head = codec.readResponse(response.status().code()) { response.headers().getAll(it) }
+        val head = codec.readResponse(status) { response.headers().getAll(it) }
         discarding = !belongsTo(current, response, head)
         if (discarding && !passedOver) {
             connections.inputDropped(this, UnexpectedInput.OTHER_RESPONSE)
         }
         passedOver = passedOver || discarding
+        if (!discarding && !isFinalStatus(status)) {
+            fail(current, "not an HTTP answer: status $status")
+            return
+        }
         keepsOpen = HttpUtil.isKeepAlive(response)
         keepAliveTime = keepAliveTimeOf(response)
         passOnStatements(current, head)
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/ResetAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/ResetAnswerTest.kt
@@ -57,11 +57,8 @@
                 .first().outcome
         }
 
-        /** What the caller has got once the request is given up. */
-        fun receivedAfterCut(): String {
-            fixture.execute(ForwardEffect.Cut(arrived.request))
-            return caller.readAll().orEmpty()
-        }
+        /** Ends the request without an answer, or the answer if it has begun. */
+        fun cut() = fixture.execute(ForwardEffect.Cut(arrived.request))
     }
 
     /** The reset shows as a failed write, after which the decoder reported the end of the body. */
@@ -69,14 +66,16 @@
     fun `an answer that is reset while its request is written is lost`() {
         val answer = EarlyAnswer(plainHead + "hello") { it.reset() }
         assertTrue(assertIs<AttemptOutcome.Lost>(answer.outcome).connectionLost)
-        assertEquals("", answer.receivedAfterCut())
+        answer.cut()
+        assertTrue(answer.caller.isReset())
     }
 
     @Test
     fun `a stream that is reset between two events while its request is written has broken off`() {
         val answer = EarlyAnswer(streamHead + events, streaming = true) { it.reset() }
         assertTrue(assertIs<AttemptOutcome.Broken>(answer.outcome).connectionLost)
-        val received = answer.receivedAfterCut()
+        answer.cut()
+        val received = answer.caller.readAll().orEmpty()
         assertTrue("data: b" in received, received)
         assertFalse(received.endsWith("\r\n0\r\n\r\n"), received)
     }
@@ -85,7 +84,8 @@
     fun `a long answer that is reset while its request is written has broken off`() {
         val answer = EarlyAnswer(plainHead + "x".repeat(LONG_ANSWER_BYTES)) { it.reset() }
         assertTrue(assertIs<AttemptOutcome.Broken>(answer.outcome).connectionLost)
-        assertFalse(answer.receivedAfterCut().endsWith("\r\n0\r\n\r\n"))
+        answer.cut()
+        assertFalse(answer.caller.readAll().orEmpty().endsWith("\r\n0\r\n\r\n"))
     }
 
     /** Such an endpoint has not read its request, so that its end may be that of its process. */
