Read at most 16 KiB at a time in a connection's turn

A turn ends only after the read that reached its limit of messages, so that the size of a read bounds the turn of the densest input.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/forwarding/ReadTurn.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/forwarding/ReadTurn.kt
@@ -42,10 +42,12 @@
         }
 
     private companion object {
-        const val MAX_READS = 16
+        const val MAX_READS = 64
         const val MIN_READ_BYTES = 64
         const val FIRST_READ_BYTES = 2048
-        const val MAX_READ_BYTES = 64 * 1024
+
+        /** All messages of a read are decoded within the turn, however many they are. */
+        const val MAX_READ_BYTES = 16 * 1024
 
         /** More than reads of long bodies in large chunks decode to. */
         const val MAX_MESSAGES = 256
