Split the keep-alive time, event ids and malformed requests out

The time to keep a connection, what tells streams and their events apart, and why a malformed request is refused stand in files of their own; five imports that nothing used are gone.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/CallerConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/CallerConnection.kt
@@ -24,8 +24,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -213,7 +211,7 @@
         when {
             decodingError != null -> {
                 ReferenceCountUtil.release(message)
-                refuseMalformed(decodingError)
+                refuseAndClose(rejectionOf(decodingError))
             }
 
             message is HttpRequest -> beginRequest(message)
@@ -227,7 +225,7 @@
         requestStarted = true
         val rejection = rejectionOf(message, limits, traffic.memory.bodies)
         if (rejection != null) {
-            refuseAndClose(rejection.kind, rejection.detail)
+            refuseAndClose(rejection)
             return
         }
         if (HttpUtil.is100ContinueExpected(message)) {
@@ -324,12 +322,8 @@
         }
     }
 
-    private fun refuseMalformed(decodingError: Throwable) = when (decodingError) {
-        is TooLongHttpHeaderException, is TooLongHttpLineException ->
-            refuseAndClose(ErrorKind.HEADERS_TOO_LARGE, "headers")
-
-        else -> refuseAndClose(ErrorKind.MALFORMED_REQUEST, "not HTTP/1.1")
-    }
+    private fun refuseAndClose(rejection: RequestRejection) =
+        refuseAndClose(rejection.kind, rejection.detail)
 
     /**
      * Sends an error response and closes the connection, although the caller may still be sending.
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/PipelinedInput.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/PipelinedInput.kt
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
-import org.gypsumroute.gateway.forwarding.first
 
 /**
  * Parts of pipelined requests, which wait until the request before them has its response. They
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/RequestRejection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/callers/RequestRejection.kt
@@ -5,6 +5,8 @@
 
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
 import org.gypsumroute.api.CallerLimits
 import org.gypsumroute.api.ErrorKind
 
@@ -32,6 +34,14 @@
     }
 }
 
+/** Returns why a request is refused that could not be decoded. */
+internal fun rejectionOf(decodingError: Throwable): RequestRejection = when (decodingError) {
+    is TooLongHttpHeaderException, is TooLongHttpLineException ->
+        RequestRejection(ErrorKind.HEADERS_TOO_LARGE, "headers")
+
+    else -> RequestRejection(ErrorKind.MALFORMED_REQUEST, "not HTTP/1.1")
+}
+
 /**
  * Whether the request target has printable ASCII characters only. Only such a target can be
  * forwarded byte for byte.
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/BytesReceived.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/BytesReceived.kt
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import org.gypsumroute.gateway.forwarding.first
 
 /** Channel event: bytes arrived that the decoder may not have turned into a message yet. */
 internal object BytesReceived
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointAttempt.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointAttempt.kt
@@ -26,7 +26,6 @@
 import org.gypsumroute.api.Repetition
 import org.gypsumroute.gateway.forwarding.ForwardExchange
 import org.gypsumroute.gateway.forwarding.ForwardTraffic
-import org.gypsumroute.gateway.forwarding.first
 
 /** An attempt. [deadline] is the moment at which the time of the request is over. */
 internal class EndpointAttempt(
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnection.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EndpointConnection.kt
@@ -23,14 +23,12 @@
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.EndpointStatement
 import org.gypsumroute.api.UnexpectedInput
 import org.gypsumroute.gateway.forwarding.ForwardCodec
 import org.gypsumroute.gateway.forwarding.ReadTurn
-import org.gypsumroute.gateway.forwarding.first
 
 /** Reads responses for the attempt that currently uses the connection. */
 internal class EndpointConnection(
@@ -51,6 +49,7 @@
     private var passedOver = false
     private var informational = false
     private var keepsOpen = false
+    private var keepAliveTime: Duration = DEFAULT_KEEP_ALIVE
 
     /**
      * Whether the endpoint has closed its side in order. A reset, a failed write and a close by the
@@ -324,22 +323,4 @@
         channel.close()
         current.responseBrokenOff(cause, connectionLost)
     }
-
-    private var keepAliveTime: Duration = DEFAULT_KEEP_ALIVE
-
-    private fun keepAliveTimeOf(response: HttpResponse): Duration {
-        val seconds = response.headers()[KEEP_ALIVE_HEADER]?.substringAfter("timeout=", "")
-            ?.takeWhile { it.isDigit() }?.toLongOrNull() ?: return DEFAULT_KEEP_ALIVE
-        return seconds.seconds * KEEP_ALIVE_FRACTION
-    }
-
-    private companion object {
-        const val KEEP_ALIVE_HEADER = "Keep-Alive"
-
-        /** Time to keep an idle connection if the endpoint sends no keep-alive timeout. */
-        val DEFAULT_KEEP_ALIVE = 4.seconds
-
-        /** Fraction of the endpoint's keep-alive timeout, so that the gateway closes first. */
-        const val KEEP_ALIVE_FRACTION = 0.7
-    }
 }
--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
@@ -6,7 +6,6 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -18,7 +17,6 @@
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.gateway.forwarding.BufferedResponse
 import org.gypsumroute.gateway.forwarding.ForwardTraffic
-import org.gypsumroute.gateway.forwarding.first
 import org.gypsumroute.gateway.forwarding.forwardedHeaders
 
 /** Buffers or forwards the response that starts with [response]. */
@@ -207,7 +205,7 @@
 
     private fun forwardEvents(splitter: EventSplitter) {
         val first = !deliveryStarted
-        if (first && resumesAnswer && !follows(splitter.firstEventId, exchange.lastEventId)) {
+        if (first && resumesAnswer && !mayFollow(splitter.firstEventId, exchange.lastEventId)) {
             repeatsEvents = true
             return
         }
@@ -253,28 +251,6 @@
     }
 
     private companion object {
-        const val EVENT_STREAM = "text/event-stream"
-
-        /** Whether a response may be a stream of events; one that states no type may be. */
-        fun mayBeEventStream(headers: HttpHeaders): Boolean =
-            HttpUtil.getMimeType(headers[HttpHeaderNames.CONTENT_TYPE] ?: EVENT_STREAM)
-                ?.toString()?.trim().equals(EVENT_STREAM, ignoreCase = true)
-
-        /**
-         * Whether an event with the id [next] may come after the one with [previous]. Ids that are
-         * numbers increase; of others, only the same one is known to be no later.
-         */
-        fun follows(next: String?, previous: String?): Boolean {
-            if (next == null || previous == null) return true
-            val nextNumber = next.toLongOrNull()
-            val previousNumber = previous.toLongOrNull()
-            return if (nextNumber != null && previousNumber != null) {
-                nextNumber > previousNumber
-            } else {
-                next != previous
-            }
-        }
-
         /**
          * Successful responses larger than this are forwarded while they arrive. A failure response
          * or an event that is larger is not accepted.
