--- a/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/SingleAttemptHttpClientTest.kt
+++ b/gypsumroute-clients/src/test/kotlin/org/gypsumroute/clients/SingleAttemptHttpClientTest.kt
@@ -112,11 +112,12 @@
             }
     }
 
-    /** The failed write was passed over and the end of the connection taken for that of the body. */
+    /** The write that failed was passed over, and the reset then looked like a close. */
     @Test
     fun `an answer that is reset while its request is written is broken`() {
         for (head in listOf("", "Connection: close\r\n")) {
-            assertIs<ClientFailure.Broken>(callWithEarlyAnswer("HTTP/1.1 200 OK\r\n$head\r\npart"))
+            val answer = "HTTP/1.1 200 OK\r\n$head\r\npart"
+            assertIs<ClientFailure.Broken>(callWithEarlyAnswer(answer), answer)
         }
     }
 
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/UnframedAnswerTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/UnframedAnswerTest.kt
@@ -167,7 +167,7 @@
         }
     }
 
-    /** Guards against answers that wait for the end of their connection although they have no body. */
+    /** Guards against answers without a body that wait for the end of their connection. */
     @Test
     fun `an answer that cannot have a body is complete without a length`() {
         for ((method, status) in listOf("HEAD" to "200 OK", "GET" to "204 No Content")) {
