--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EventSplitter.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/EventSplitter.kt
@@ -19,6 +19,9 @@
     /** Start of the first line that [scan] has not seen whole. */
     private var lineStart = 0
 
+    /** End of what [scan] has looked at. */
+    private var scanned = 0
+
     /** Where the lines begin that belong to no complete block. */
     private var blockStart = 0
     private var blockHasLines = false
@@ -62,10 +65,11 @@
     /** Finds the events that are complete now. Looks at each byte once. */
     fun scan() {
         while (true) {
-            val lineFeed = pending.indexOf(lineStart, pending.writerIndex(), LINE_FEED)
+            val lineFeed = pending.indexOf(scanned, pending.writerIndex(), LINE_FEED)
+            scanned = if (lineFeed < 0) pending.writerIndex() else lineFeed + 1
             if (lineFeed < 0) return
             readLine(lineStart, lineFeed)
-            lineStart = lineFeed + 1
+            lineStart = scanned
             if (!blockHasLines) blockStart = lineStart
         }
     }
@@ -80,6 +84,7 @@
         pending = remaining
         takenBytes += blockStart
         lineStart -= blockStart
+        scanned -= blockStart
         blockStart = 0
         return blocks
     }
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/EventSplitterTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/endpoints/EventSplitterTest.kt
@@ -6,6 +6,8 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.measureTime
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 
@@ -51,6 +53,28 @@
         }
     }
 
+    /** Guards against a search that begins at the start of a line with each part of it. */
+    @Test
+    fun `a long line takes no longer than as many bytes in short ones`() {
+        val long = shortestTimeOf("x".repeat(PART_BYTES))
+        val short = shortestTimeOf("x".repeat(PART_BYTES - 1) + "\n")
+        assertTrue(long < short * MAX_COST_RATIO, "$long in place of $short")
+    }
+
+    /** The shortest of several times in which a splitter takes many parts with this [text]. */
+    private fun shortestTimeOf(text: String): Duration {
+        val part = Unpooled.copiedBuffer(text, Charsets.UTF_8)
+        return (1..RUNS).minOf {
+            val splitter = EventSplitter()
+            measureTime {
+                repeat(PARTS) {
+                    splitter.add(part.duplicate())
+                    splitter.scan()
+                }
+            }
+        }
+    }
+
     /** Guards against events that are lost or duplicated when a read ends inside an event. */
     @Property(tries = 300)
     fun `a stream yields the same events however it is split into reads`(@ForAll seed: Long) {
@@ -71,4 +95,13 @@
         assertEquals(stream, received.toString())
         assertEquals("10", splitter.lastEventId)
     }
+
+    private companion object {
+        const val PARTS = 10_000
+        const val PART_BYTES = 100
+        const val RUNS = 5
+
+        /** Cost of a byte of any input, as a multiple of the plainest. */
+        const val MAX_COST_RATIO = 10
+    }
 }
