Count the memory of answers after they are passed on

With 40 streams whose last event had 30 kB and a heap of 4 MB, sound streams were given up for lack of memory. It is now counted after each read, when the buffer is what is left.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/endpoints/ResponseReader.kt
@@ -62,7 +62,6 @@
             bufferedBody.writeBytes(bytes)
         }
         if (bufferedBytes >= MAX_UNFORWARDED_BYTES) forward()
-        traffic.answerMemory.update(this, eventSplitter?.capacityBytes ?: bufferedBody.capacity())
     }
 
     /**
@@ -76,6 +75,7 @@
             relaying -> relayBuffered()
             success && bufferedBytes > MAX_BUFFERED_BYTES -> startRelay()
         }
+        traffic.answerMemory.update(this, eventSplitter?.capacityBytes ?: bufferedBody.capacity())
     }
 
     /**
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/StreamingTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/StreamingTest.kt
@@ -113,6 +113,23 @@
         assertTrue(parts < EVENTS_AT_ONCE / 20, "$parts parts")
     }
 
+    /** Guards against sound streams that are given up because others had long events before. */
+    @Test
+    fun `events that were passed on take no memory for answers`() = TrafficFixture(SMALL_HEAP).use {
+        val event = "id: 1\ndata: ${"x".repeat(LONG_EVENT)}\n\n"
+        repeat(STREAMS) { _ ->
+            val endpoint = it.endpoint { connection ->
+                connection.readMessage()
+                connection.write(streamHeadFor("1") + chunk(event))
+            }
+            val caller = it.call(get("1"))
+            it.send(it.nextEvent(), endpoint.address, streaming = true)
+            caller.readTo("x\n\n")
+            assertIs<ForwardEvent.StreamBegun>(it.nextEvent())
+        }
+        assertTrue(it.hasNoEvent())
+    }
+
     /** Guards against unbounded buffering for a caller that does not read. */
     @Test
     fun `a caller that does not read causes backpressure on the endpoint`() {
@@ -137,5 +154,10 @@
 
     private companion object {
         const val EVENTS_AT_ONCE = 1000
+
+        /** Leaves less for answers than the events of all streams take together. */
+        const val SMALL_HEAP = 4L * 1024 * 1024
+        const val LONG_EVENT = 30_000
+        const val STREAMS = 40
     }
 }
--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/TrafficFixture.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/TrafficFixture.kt
@@ -45,14 +45,14 @@
 internal const val HEAP_BYTES = 128L * 1024 * 1024
 
 /** Gateway traffic with short header names, which keep the tests readable. */
-internal class TrafficFixture : AutoCloseable {
+internal class TrafficFixture(heapBytes: Long = HEAP_BYTES) : AutoCloseable {
     private val loop = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val events = LinkedBlockingQueue<Event>()
 
     /** Reports of dropped bytes, apart from [events], since they come at any time. */
     val droppedInput = LinkedBlockingQueue<ForwardEvent.InputDropped>()
     private val openResources = ArrayList<AutoCloseable>()
-    val traffic = ForwardTraffic(loop, testCodec, MAX_CALLERS, RequestMemory(HEAP_BYTES)) {
+    val traffic = ForwardTraffic(loop, testCodec, MAX_CALLERS, RequestMemory(heapBytes)) {
         if (it is ForwardEvent.InputDropped) droppedInput += it else events += it
     }
     private val port = traffic.listen(InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).port
