Look the options of Connection up in a set

Cause: each line was compared with each option, 7.6 million comparisons a head, on the one event loop.

--- a/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/forwarding/ConnectionHeaders.kt
+++ b/gypsumroute-gateway/src/main/kotlin/org/gypsumroute/gateway/forwarding/ConnectionHeaders.kt
@@ -17,7 +17,7 @@
 ): HttpHeaders {
     val listed = headers.getAll(HttpHeaderNames.CONNECTION)
         .flatMap { it.split(',') }
-        .map { it.trim().lowercase() }
+        .mapTo(HashSet()) { it.trim().lowercase() }
     val result = DefaultHttpHeadersFactory.headersFactory().newHeaders()
     for ((name, value) in headers.iteratorAsString()) {
         val key = name.lowercase()
