Bound the texts of log lines and their queue by length

Cause: the queue of log lines was bounded by their number alone. A line with such an id has 32 kB as JSON, and all queued lines were joined into one text with two copies.

Change: a value in a line has at most 512 characters, the queue 2 million, and lines are written in parts of about 64 kB. What does not fit is dropped and counted as before.

--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BoundedLogAppender.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BoundedLogAppender.kt
@@ -17,17 +17,19 @@
 /**
  * Queues log events for a writer thread, which writes them to [output] in batches.
  *
- * Events beyond [maxLinesPerSecond], and those that arrive while the queue is full, are dropped and
- * counted; a line made by [formatDroppedLine] reports their number. Warnings and errors are dropped
+ * Events beyond [maxLinesPerSecond], and those that arrive while the queue is full by their number
+ * or by [maxQueuedCharacters], are dropped and counted; a line made by [formatDroppedLine] reports their number. Warnings and errors are dropped
  * only beyond twice the rate.
  */
 internal class BoundedLogAppender(
     private val output: OutputStream,
     private val formatLine: (ILoggingEvent) -> String,
     private val formatDroppedLine: (Long) -> String,
-    private val maxLinesPerSecond: Int = DEFAULT_MAX_LINES_PER_SECOND
+    private val maxLinesPerSecond: Int = DEFAULT_MAX_LINES_PER_SECOND,
+    private val maxQueuedCharacters: Long = DEFAULT_MAX_QUEUED_CHARACTERS
 ) : AppenderBase<ILoggingEvent>() {
     private val queue = ArrayBlockingQueue<ILoggingEvent>(QUEUE_CAPACITY_LINES)
+    private val queuedCharacters = AtomicLong()
     private val dropped = AtomicLong()
     private val writeScheduled = AtomicBoolean()
     private val writeLock = Any()
@@ -39,7 +41,7 @@
     private var linesInCurrentSecond = 0
 
     override fun append(event: ILoggingEvent) {
-        if (!withinRate(event) || !queue.offer(event)) dropped.incrementAndGet()
+        if (!withinRate(event) || !enqueue(event)) dropped.incrementAndGet()
         if (writeScheduled.compareAndSet(false, true)) {
             writer.schedule(::writeQueued, WRITE_DELAY_MS, TimeUnit.MILLISECONDS)
         }
@@ -53,6 +55,15 @@
         writeQueued()
     }
 
+    /** Queues an event unless there is no room. Called while the appender's lock is held. */
+    private fun enqueue(event: ILoggingEvent): Boolean {
+        val characters = charactersOf(event)
+        if (queuedCharacters.get() + characters > maxQueuedCharacters) return false
+        val queued = queue.offer(event)
+        if (queued) queuedCharacters.addAndGet(characters)
+        return queued
+    }
+
     /** Called while the appender's lock is held, which guards the counter. */
     private fun withinRate(event: ILoggingEvent): Boolean {
         val now = event.timeStamp / MS_PER_SECOND
@@ -75,16 +86,35 @@
     private fun writeQueued() = synchronized(writeLock) {
         writeScheduled.set(false)
         val lines = StringBuilder()
-        while (true) lines.append(formatLine(queue.poll() ?: break))
+        while (true) {
+            val event = queue.poll() ?: break
+            queuedCharacters.addAndGet(-charactersOf(event))
+            lines.append(formatLine(event))
+            if (lines.length >= BATCH_CHARACTERS) write(lines)
+        }
         val droppedCount = dropped.getAndSet(0)
         if (droppedCount > 0) lines.append(formatDroppedLine(droppedCount))
-        output.write(lines.toString().encodeToByteArray())
+        write(lines)
         output.flush()
     }
 
+    /** Writes and empties [lines]. */
+    private fun write(lines: StringBuilder) {
+        output.write(lines.toString().encodeToByteArray())
+        lines.setLength(0)
+    }
+
+    /** About the length of the texts of an event, which are most of its memory. */
+    private fun charactersOf(event: ILoggingEvent): Long = event.message.orEmpty().length +
+        event.keyValuePairs.orEmpty().sumOf { (it.value as? String)?.length?.toLong() ?: 0L }
+
     private companion object {
         const val DEFAULT_MAX_LINES_PER_SECOND = 500
         const val QUEUE_CAPACITY_LINES = 4096
+        const val DEFAULT_MAX_QUEUED_CHARACTERS = 2L * 1024 * 1024
+
+        /** Lines are written in parts of about this size, so that their copies stay small. */
+        const val BATCH_CHARACTERS = 64 * 1024
         const val WRITE_DELAY_MS = 20L
         const val MS_PER_SECOND = 1000L
     }
--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/EventLogger.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/EventLogger.kt
@@ -16,7 +16,7 @@
             payload = buildMap {
                 put(NUMBER_FIELD, event.number)
                 put(EVENT_FIELD, event.name.lowercase())
-                fields.forEach { putIfAbsent(it.name, it.value) }
+                fields.forEach { putIfAbsent(it.name, boundedValue(it.value)) }
             }
         }
     }
@@ -28,5 +28,13 @@
     }
 }
 
+/** The text of a value. Callers and endpoints choose some, such as ids, and may make them long. */
+private fun boundedValue(value: String): String = if (value.length <= MAX_VALUE_CHARACTERS) {
+    value
+} else {
+    "${value.take(MAX_VALUE_CHARACTERS)}... (${value.length} characters)"
+}
+
+private const val MAX_VALUE_CHARACTERS = 512
 internal const val NUMBER_FIELD = "number"
 internal const val EVENT_FIELD = "event"
--- a/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/BoundedLogAppenderTest.kt
+++ b/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/BoundedLogAppenderTest.kt
@@ -27,6 +27,24 @@
     private fun event(text: String, level: Level = Level.INFO) =
         LoggingEvent("test", logger, level, text, null, null).apply { timeStamp = 1_000 }
 
+    /** An output that takes nothing before [release]. */
+    private class BlockedOutput(private val release: CountDownLatch) : OutputStream() {
+        val entered = CountDownLatch(1)
+        var total = 0
+        var largestWrite = 0
+        var lastWrite = ""
+
+        override fun write(byte: Int) = write(byteArrayOf(byte.toByte()), 0, 1)
+
+        override fun write(bytes: ByteArray, from: Int, length: Int) {
+            entered.countDown()
+            release.await(10, TimeUnit.SECONDS)
+            total += length
+            largestWrite = maxOf(largestWrite, length)
+            lastWrite = String(bytes, from, length)
+        }
+    }
+
     @Test
     fun `lines are written in order`() {
         val output = ByteArrayOutputStream()
@@ -57,20 +75,30 @@
         assertContains(output.toString(), "warning")
     }
 
+    /** The queue was bounded by lines alone, and long ones filled the heap. */
+    @Test
+    fun `long lines fill the queue by their length`() {
+        val release = CountDownLatch(1)
+        val blocked = BlockedOutput(release)
+        val appender = appender(blocked, maxLinesPerSecond = 100_000)
+        appender.doAppend(event("first"))
+        blocked.entered.await(5, TimeUnit.SECONDS)
+        val line = "x".repeat(20_000)
+        repeat(4000) { appender.doAppend(event(line)) }
+        release.countDown()
+        appender.stop()
+        assertTrue(blocked.largestWrite < 200_000, "${blocked.largestWrite} bytes at once")
+        assertTrue(blocked.total < 3_000_000, "${blocked.total} bytes were queued")
+        assertContains(blocked.lastWrite, "dropped")
+    }
+
     /**
      * If the reader of standard output stops reading, the control thread must not block on logging.
      */
     @Test
     fun `an output that blocks does not block threads that log`() {
         val release = CountDownLatch(1)
-        val blocked = object : OutputStream() {
-            override fun write(byte: Int) = write(byteArrayOf(byte.toByte()), 0, 1)
-
-            override fun write(bytes: ByteArray, from: Int, length: Int) {
-                release.await(10, TimeUnit.SECONDS)
-            }
-        }
-        val appender = appender(blocked, 100_000)
+        val appender = appender(BlockedOutput(release), 100_000)
         appender.doAppend(event("first"))
         Thread.sleep(100)
         val nanoseconds = measureNanoTime { repeat(20_000) { appender.doAppend(event("line")) } }
--- a/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/LogOutputTest.kt
+++ b/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/LogOutputTest.kt
@@ -39,6 +39,14 @@
         Instant.parse(fields.getValue("time").jsonPrimitive.content)
     }
 
+    /** Callers' ids of 15,900 characters made lines of 32 kB, which ended the process (review/6). */
+    @Test
+    fun `a long value is shortened and its length named`() {
+        val long = "\"".repeat(15_900)
+        val value = Json.parseToJsonElement(line(LogFormat.JSON, long)).jsonObject.getValue("peer")
+        assertEquals("\"".repeat(512) + "... (15900 characters)", value.jsonPrimitive.content)
+    }
+
     @Test
     fun `a line break in a value does not begin a second line of text`() {
         val text = line(LogFormat.TEXT, "x\nnumber=1")
