--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BoundedLogAppender.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BoundedLogAppender.kt
@@ -18,8 +18,8 @@
  * Queues log events for a writer thread, which writes them to [output] in batches.
  *
  * Events beyond [maxLinesPerSecond], and those that arrive while the queue is full by their number
- * or by [maxQueuedCharacters], are dropped and counted; a line made by [formatDroppedLine] reports their number. Warnings and errors are dropped
- * only beyond twice the rate.
+ * or by [maxQueuedCharacters], are dropped and counted; a line made by [formatDroppedLine] reports
+ * their number. Warnings and errors are dropped only beyond twice the rate.
  */
 internal class BoundedLogAppender(
     private val output: OutputStream,
--- a/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/LogOutputTest.kt
+++ b/gypsumroute-runtime/src/test/kotlin/org/gypsumroute/runtime/LogOutputTest.kt
@@ -39,7 +39,7 @@
         Instant.parse(fields.getValue("time").jsonPrimitive.content)
     }
 
-    /** Callers' ids of 15,900 characters made lines of 32 kB, which ended the process (review/6). */
+    /** Callers' ids of 15,900 characters made lines of 32 kB, which ended the process. */
     @Test
     fun `a long value is shortened and its length named`() {
         val long = "\"".repeat(15_900)
