Share the set-up of a stream between two tests

Two tests of StreamingTest opened a stream in the same six lines. Their assertions are as before; the 7 tests of the class, formatter and linter pass.

--- a/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/StreamingTest.kt
+++ b/gypsumroute-gateway/src/test/kotlin/org/gypsumroute/gateway/forwarding/StreamingTest.kt
@@ -21,14 +21,25 @@
     @AfterTest
     fun close() = fixture.close()
 
-    @Test
-    fun `events are forwarded as they arrive`() {
-        val endpoint = fixture.endpoint { }
+    /** A stream whose request the endpoint has received and not answered. */
+    private inner class OpenStream {
+        private val endpoint = fixture.endpoint { }
         val caller = fixture.call(get("1"))
         val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
-        fixture.send(arrived, endpoint.address, streaming = true)
-        val upstream = endpoint.connections.take()
-        upstream.readMessage()
+        val upstream: RawConnection
+
+        init {
+            fixture.send(arrived, endpoint.address, streaming = true)
+            upstream = endpoint.connections.take()
+            upstream.readMessage()
+        }
+    }
+
+    @Test
+    fun `events are forwarded as they arrive`() {
+        val stream = OpenStream()
+        val caller = stream.caller
+        val upstream = stream.upstream
         upstream.write(streamHeadFor("1") + chunk("id: 1\ndata: a\n\n"))
         assertContains(caller.readTo("data: a\n\n"), "X-Signature: s")
         assertIs<ForwardEvent.StreamBegun>(fixture.nextEvent())
@@ -36,7 +47,7 @@
         caller.readTo("data: b\n\n")
         upstream.write(chunk("ta: c\n\n") + "0\r\n\r\n")
         assertTrue(caller.readTo("\r\n0\r\n\r\n").endsWith("data: c\n\n\r\n0\r\n\r\n"))
-        assertIs<AttemptOutcome.Completed>(fixture.awaitAttemptEnd(arrived.request).outcome)
+        assertIs<AttemptOutcome.Completed>(fixture.awaitAttemptEnd(stream.arrived.request).outcome)
     }
 
     /**
@@ -98,12 +109,9 @@
     @Test
     fun `events that arrive together are passed on together`() {
         val events = (1..EVENTS_AT_ONCE).map { "id: $it\ndata: a\n\n" }
-        val endpoint = fixture.endpoint { }
-        val caller = fixture.call(get("1"))
-        val arrived = fixture.nextEvent<ForwardEvent.Arrived>()
-        fixture.send(arrived, endpoint.address, streaming = true)
-        val upstream = endpoint.connections.take()
-        upstream.readMessage()
+        val stream = OpenStream()
+        val caller = stream.caller
+        val upstream = stream.upstream
         fixture.whileLoopIsOccupied {
             upstream.write(streamHeadFor("1") + events.joinToString("") { chunk(it) } + "0\r\n\r\n")
         }
