Log and count what reads of the store bring, with the store's era

New are 2028 (records dropped as outdated, beside those held), 2029 (change of era), 2030 (an answer without a usable era, once for each kind and era), and counters for them. No decision changes.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Metric.kt
@@ -17,6 +17,14 @@
         "gypsumroute_store_silence_seconds",
         "Time between two answers of the store to reads of published records"
     ),
+    STORE_ERAS(
+        "gypsumroute_store_eras_total",
+        "Changes of the store's era, by how they were learnt"
+    ),
+    STORE_ERAS_REJECTED(
+        "gypsumroute_store_eras_rejected_total",
+        "Answers of the store without a usable era, by outcome"
+    ),
     REPORTS_REJECTED(
         "gypsumroute_reports_rejected_total",
         "Datagrams of other gateways that could not be used"
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEvent.kt
@@ -5,30 +5,38 @@
  * that operators took out of service.
  */
 sealed interface PublishedEvent : Event {
-    /** A result of the [read] of the store. */
+    /** A result of the [read] of the store. The [era] is null if the store has not answered. */
     sealed interface OfStore : PublishedEvent {
         val read: ReadId
+        val era: AnsweredEra?
     }
 
     /** A part of the answer arrived, so the connection works. */
-    data class ReadProgressed(override val read: ReadId) : OfStore
+    data class ReadProgressed(override val read: ReadId) : OfStore {
+        override val era: AnsweredEra? get() = null
+    }
 
     /** All records as of [revision], which replace those known before. */
     data class SnapshotRead(
         override val read: ReadId,
         val revision: Revision,
-        val records: List<PublishedRecord>
+        val records: List<PublishedRecord>,
+        override val era: AnsweredEra = AnsweredEra.NONE
     ) : OfStore
 
     /** The records that changed after the requested revision, up to [revision]. */
     data class ChangesRead(
         override val read: ReadId,
         val revision: Revision,
-        val changes: List<PublishedRecord>
+        val changes: List<PublishedRecord>,
+        override val era: AnsweredEra = AnsweredEra.NONE
     ) : OfStore
 
     /** The store no longer holds the changes after the requested revision. */
-    data class HistoryLost(override val read: ReadId) : OfStore
+    data class HistoryLost(
+        override val read: ReadId,
+        override val era: AnsweredEra = AnsweredEra.NONE
+    ) : OfStore
 
     /**
      * A read failed. If the store answered and the answer could not be read, [repeatable] is false:
@@ -37,7 +45,8 @@
     data class ReadFailed(
         override val read: ReadId,
         val cause: String,
-        val repeatable: Boolean = true
+        val repeatable: Boolean = true,
+        override val era: AnsweredEra? = null
     ) : OfStore
 
     /** All records that the gateway [peer] holds, as of [revision]. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayMetrics.kt
@@ -83,6 +83,9 @@
 /** Outcome of reads of the store whose answer is overdue. */
 internal const val READ_OVERDUE = "overdue"
 
+/** Outcome of reads of the store that brought older records than those in force. */
+internal const val READ_OUTDATED = "outdated"
+
 private fun labelsOf(record: ForwardRecord) =
     MetricLabels(service = record.service, organisation = record.organisation)
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
@@ -11,7 +11,10 @@
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.Revision
 import org.gypsumroute.api.Step
+import org.gypsumroute.api.StoreEra
 import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.READ_OUTDATED
+import org.gypsumroute.core.gateway.countRead
 import org.gypsumroute.core.gateway.crashes.beginCautiously
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
@@ -19,6 +22,13 @@
 import org.gypsumroute.core.thenEach
 
 internal fun reducePublished(state: GatewayState, event: PublishedEvent): Step<GatewayState> =
+    if (event is PublishedEvent.OfStore) {
+        noteAnsweredEra(state, event.era).then { reduceRead(it, event) }
+    } else {
+        reduceRead(state, event)
+    }
+
+private fun reduceRead(state: GatewayState, event: PublishedEvent): Step<GatewayState> =
     when (event) {
         is PublishedEvent.SnapshotRead -> reduceSnapshot(state, event)
 
@@ -42,7 +52,8 @@
 ): Step<GatewayState> {
     val answered = noteStoreAnswer(state, event.read)
     return if (isOutdated(state, event.revision)) {
-        answered.then { startReadUnlessAwaited(withReadableChanges(it)) }
+        answered.then { noteOutdated(it, event.revision, event.era.era) }
+            .then { startReadUnlessAwaited(withReadableChanges(it)) }
     } else {
         answered.then { applySnapshot(it, "store", event.revision, event.records) }
             .then { startReadUnlessAwaited(it) }
@@ -54,7 +65,11 @@
     event: PublishedEvent.ChangesRead
 ): Step<GatewayState> {
     val answered = noteStoreAnswer(state, event.read)
-    return if (event.changes.isEmpty() || isOutdated(state, event.revision)) {
+        .then { withReads(it) { reads -> reads.copy(historyLosses = 0) }.step() }
+    return if (isOutdated(state, event.revision)) {
+        answered.then { noteOutdated(it, event.revision, event.era.era) }
+            .then { startReadUnlessAwaited(it) }
+    } else if (event.changes.isEmpty()) {
         answered.then { startReadUnlessAwaited(it) }
     } else {
         answered.then { logChanges(it, event) }
@@ -67,6 +82,23 @@
 private fun isOutdated(state: GatewayState, revision: Revision): Boolean =
     revision < state.published.revision
 
+/** Logs and counts records that are dropped because newer ones are in force. */
+private fun noteOutdated(
+    state: GatewayState,
+    revision: Revision,
+    era: StoreEra
+): Step<GatewayState> = state.step(
+    logEffect(
+        LogEvent.RECORDS_OUTDATED,
+        "revision" to revision,
+        "era" to era,
+        "held" to state.published.revision,
+        "held_era" to state.published.reads.era,
+        "unchanged" to state.published.appliedAt?.let { state.common.now - it }
+    ),
+    countRead(READ_OUTDATED)
+)
+
 /** Replaces all records by those of a full read [from] the store or another gateway. */
 internal fun applySnapshot(
     state: GatewayState,
@@ -82,6 +114,8 @@
                 LogEvent.RECORDS_READ,
                 "from" to from,
                 "revision" to revision,
+                "era" to it.published.reads.era,
+                "version" to it.published.table?.version,
                 "records" to records.size,
                 "endpoints" to it.endpoints.size
             )
@@ -116,6 +150,7 @@
             LogEvent.CHANGES_READ,
             "before" to state.published.revision,
             "revision" to event.revision,
+            "era" to event.era.era,
             "changes" to event.changes.size
         )
     )
@@ -127,9 +162,13 @@
     records: List<PublishedRecord>
 ): Step<GatewayState> = state.step()
     .thenEach(records) { next, record -> applyRecord(next, record) }
-    .then { it.copy(published = it.published.copy(revision = revision)).step() }
+    .then { withRevision(it, revision).step() }
     .then { withReadableChanges(it).step() }
 
+private fun withRevision(state: GatewayState, revision: Revision): GatewayState = state.copy(
+    published = state.published.copy(revision = revision, appliedAt = state.common.now)
+)
+
 private fun applyRecord(state: GatewayState, record: PublishedRecord): Step<GatewayState> =
     when (record) {
         is PublishedRecord.Table -> acceptTable(state, record)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
@@ -10,7 +10,8 @@
 import org.gypsumroute.api.RoutingTable
 
 /**
- * The published records as read so far, except the endpoints, and the [reads] of the store.
+ * The published records as read so far, except the endpoints, and the [reads] of the store. Records
+ * were last taken over at [appliedAt], which is null if none were.
  *
  * [peerReadPending] tells whether a read from another gateway is in progress, and [failedPeer]
  * which one could not be read last. Records of [lapsedEndpoints] were removed around an outage of
@@ -26,7 +27,8 @@
     val peerReadPending: Boolean = false,
     val failedPeer: HostId? = null,
     val lapsedEndpoints: PersistentSet<EndpointId> = persistentSetOf(),
-    val lapsedRetainedUntil: Moment = Moment.START
+    val lapsedRetainedUntil: Moment = Moment.START,
+    val appliedAt: Moment? = null
 ) {
     /** Whether the latest read of the store succeeded. */
     val storeReachable: Boolean get() = reads.failures == 0
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
@@ -47,13 +47,23 @@
     }
     val wait = if (published.storeReachable) watchTime(state) else Duration.ZERO
     return startAwaited(state, wait + answerTime(state)) { read ->
-        PublishedEffect.WatchChanges(read, published.revision, wait, !published.storeReachable)
+        PublishedEffect.WatchChanges(
+            read,
+            published.revision,
+            wait,
+            newConnection = !published.storeReachable,
+            knownEra = published.reads.era
+        )
     }
 }
 
 private fun startFullRead(state: GatewayState): Step<GatewayState> =
     startAwaited(state, answerTime(state)) { read ->
-        PublishedEffect.ReadSnapshot(read, newConnection = !state.published.storeReachable)
+        PublishedEffect.ReadSnapshot(
+            read,
+            newConnection = !state.published.storeReachable,
+            knownEra = state.published.reads.era
+        )
     }
 
 private inline fun startAwaited(
@@ -128,8 +138,17 @@
     state: GatewayState,
     event: PublishedEvent.HistoryLost
 ): Step<GatewayState> {
-    val ended = withoutAwaited(state, event.read)
-    val logged = ended.step(logEffect(LogEvent.HISTORY_LOST))
+    val losses = state.published.reads.historyLosses + 1
+    val ended = withReads(withoutAwaited(state, event.read)) { it.copy(historyLosses = losses) }
+    val logged = ended.step(
+        logEffect(
+            LogEvent.HISTORY_LOST,
+            "revision" to ended.published.revision,
+            "era" to event.era.era,
+            "losses" to losses,
+            "unchanged" to ended.published.appliedAt?.let { ended.common.now - it }
+        )
+    )
     return if (ended.published.reads.awaited) logged else logged.then { startFullRead(it) }
 }
 
@@ -179,6 +198,7 @@
             "failures" to reads.failures + 1,
             "silent" to reads.silenceAt(state.common.now),
             "revision" to state.published.revision,
+            "era" to reads.era,
             "cause" to cause
         )
     )
@@ -206,7 +226,7 @@
 private fun withoutAwaited(state: GatewayState, read: ReadId): GatewayState =
     if (isAwaited(state, read)) withReads(state) { it.copy(awaited = false) } else state
 
-private inline fun withReads(
+internal inline fun withReads(
     state: GatewayState,
     change: (StoreReads) -> StoreReads
 ): GatewayState =
