Compare what is read of the store by era and revision, and trust later reads

Cause: the store came back from an older copy, so that its revisions went back and were assigned again. The gateways compared positions by the revision alone. A full read with a lower revision was dropped as outdated, the watch from the held revision got 410, and both went on without end; with a higher revision the watch went on and skipped what stood at revisions used before, without a line.

A position is an era and a revision now, compared in this order wherever a revision was: full reads, watches, reports and records of other gateways, what is served to them, and the log of each send. A watch begins only in the latest known era, and its changes count only if they follow on the records in force in that era. A full read that began after the records in force were taken over counts whatever its revision: the store answers in order, so it has gone back or never had them. An era learnt from another gateway or from a refusal is followed by a full read, and pages from before and after the return are read again.

Counts of reads in tests leave KeepRecords out, which is no read.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
@@ -7,7 +7,7 @@
  * work at endpoints.
  *
  * A later report of the same [incarnation] has a higher [sequence] and replaces all earlier ones,
- * so a lost report is not repeated. [revision] is that of the records it holds, and
+ * so a lost report is not repeated. [position] is that of the records it holds, and
  * [storeReachable] tells whether its last read of the store succeeded. [members] are the gateways
  * that it hears from. [ready] tells whether the load balancer may send it new connections.
  * [crashes] is what it knows of prompts under which endpoints ended. [age] is the time since it
@@ -20,7 +20,7 @@
     val host: HostId,
     val incarnation: IncarnationId,
     val sequence: Long,
-    val revision: Revision,
+    val position: StorePosition,
     val storeReachable: Boolean,
     val ready: Boolean,
     val loads: Map<EndpointId, EngineLoad>,
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/PublishedEvent.kt
@@ -21,18 +21,25 @@
         override val read: ReadId,
         val revision: Revision,
         val records: List<PublishedRecord>,
-        override val era: AnsweredEra = AnsweredEra.NONE
-    ) : OfStore
+        override val era: AnsweredEra = AnsweredEra.NONE,
+        val items: ReadItems = ReadItems.NONE
+    ) : OfStore {
+        val position: StorePosition get() = StorePosition(era.era, revision)
+    }
 
-    /** The records that changed after the requested revision, up to [revision]. */
+    /** The records that changed after the position [after], up to [revision]. */
     data class ChangesRead(
         override val read: ReadId,
+        val after: StorePosition,
         val revision: Revision,
         val changes: List<PublishedRecord>,
-        override val era: AnsweredEra = AnsweredEra.NONE
-    ) : OfStore
+        override val era: AnsweredEra = AnsweredEra.NONE,
+        val items: ReadItems = ReadItems.NONE
+    ) : OfStore {
+        val position: StorePosition get() = StorePosition(era.era, revision)
+    }
 
-    /** The store no longer holds the changes after the requested revision. */
+    /** The store does not have the changes after the requested revision. */
     data class HistoryLost(
         override val read: ReadId,
         override val era: AnsweredEra = AnsweredEra.NONE
@@ -49,11 +56,12 @@
         override val era: AnsweredEra? = null
     ) : OfStore
 
-    /** All records that the gateway [peer] holds, as of [revision]. */
+    /** All records that the gateway [peer] holds, as of [position]. */
     data class PeerRecordsRead(
         val peer: HostId,
-        val revision: Revision,
-        val records: List<PublishedRecord>
+        val position: StorePosition,
+        val records: List<PublishedRecord>,
+        val items: ReadItems = ReadItems.NONE
     ) : PublishedEvent
 
     /** The records of the gateway [peer] could not be read. */
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Revision.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/Revision.kt
@@ -1,6 +1,9 @@
 package org.gypsumroute.api
 
-/** Revision of the published records as a whole; each change of any record increases it. */
+/**
+ * Revision of the published records as a whole; each change of any record increases it within one
+ * era of the store.
+ */
 @JvmInline
 value class Revision(val value: Long) : Comparable<Revision> {
     override fun compareTo(other: Revision): Int = value.compareTo(other.value)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/exchange/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/exchange/ExchangeReducer.kt
@@ -32,6 +32,7 @@
 import org.gypsumroute.core.gateway.endpoints.reduceReportedLeaving
 import org.gypsumroute.core.gateway.endpoints.withoutOldMarks
 import org.gypsumroute.core.gateway.endpoints.withoutOldPauses
+import org.gypsumroute.core.gateway.records.noteReportedEra
 import org.gypsumroute.core.gateway.records.noteStoreHeard
 import org.gypsumroute.core.gateway.records.readFromPeerIfNewer
 import org.gypsumroute.core.gateway.shares.refreshShares
@@ -86,6 +87,7 @@
         .then { reduceCrashReport(it, report.crashes) }
         .then { reduceReportedLeaving(it, "${report.host}", report.leaving) }
         .then { noteReportedAnswer(it, report) }
+        .then { noteReportedEra(it, report) }
     return if (previous != null) {
         informed.then { readFromPeerIfNewer(it) }
     } else {
@@ -214,7 +216,7 @@
         host = state.common.node.host,
         incarnation = state.common.node.incarnation,
         sequence = next.sequence,
-        revision = state.published.revision,
+        position = state.published.position,
         storeReachable = state.published.storeReachable,
         ready = state.common.ready,
         loads = state.endpoints.filterValues { it.work.isNotEmpty() }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
@@ -14,9 +14,10 @@
 import org.gypsumroute.core.gateway.exchange.reportsAt
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
+import org.gypsumroute.core.then
 
 /**
- * Reads the records of the gateway with the latest revision if that is later than this gateway's,
+ * Reads the records of the gateway with the latest position if that is later than this gateway's,
  * while the store does not answer or has not yet provided a routing table.
  */
 internal fun readFromPeerIfNewer(state: GatewayState): Step<GatewayState> {
@@ -36,10 +37,10 @@
 private fun newestMember(state: GatewayState): Map.Entry<EndpointAddress, Member>? {
     val published = state.published
     val newer = state.exchange.members.entries.filter { (_, member) ->
-        member.report.revision > published.revision && reportsAt(state.common.now, member)
+        member.report.position > published.position && reportsAt(state.common.now, member)
     }
     return newer.filter { it.value.report.host != published.failedPeer }.ifEmpty { newer }
-        .maxByOrNull { it.value.report.revision }
+        .maxByOrNull { it.value.report.position }
 }
 
 internal fun reducePeerRecords(
@@ -47,8 +48,9 @@
     event: PublishedEvent.PeerRecordsRead
 ): Step<GatewayState> {
     val noted = withFailedPeer(notePeerAnswer(state), null)
-    if (event.revision <= noted.published.revision) return noted.step()
-    return applySnapshot(noted, event.peer.value, event.revision, event.records)
+    if (event.position <= noted.published.position) return noted.step()
+    return learnEra(noted, event.position.era, event.peer.value)
+        .then { applySnapshot(it, event.peer.value, event.position, event.records, event.items) }
 }
 
 internal fun reducePeerReadFailed(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
@@ -9,9 +9,9 @@
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
-import org.gypsumroute.api.Revision
+import org.gypsumroute.api.ReadItems
 import org.gypsumroute.api.Step
-import org.gypsumroute.api.StoreEra
+import org.gypsumroute.api.StorePosition
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.gateway.READ_OUTDATED
 import org.gypsumroute.core.gateway.countRead
@@ -51,70 +51,88 @@
     event: PublishedEvent.SnapshotRead
 ): Step<GatewayState> {
     val answered = noteStoreAnswer(state, event.read)
-    return if (isOutdated(state, event.revision)) {
-        answered.then { noteOutdated(it, event.revision, event.era.era) }
+    return if (isOvertaken(state, event)) {
+        answered.then { noteOutdated(it, event.position) }
             .then { startReadUnlessAwaited(withReadableChanges(it)) }
     } else {
-        answered.then { applySnapshot(it, "store", event.revision, event.records) }
+        answered.then { applySnapshot(it, "store", event.position, event.records, event.items) }
             .then { startReadUnlessAwaited(it) }
     }
 }
 
+/**
+ * Whether newer records came into force after a full read began. The store answers each read with
+ * its state of that time, so that a read which began later counts, whatever its revision: the store
+ * has gone back then, or never had the records in force.
+ */
+private fun isOvertaken(state: GatewayState, event: PublishedEvent.SnapshotRead): Boolean {
+    val published = state.published
+    val beganBefore = event.read <= published.latestReadBefore
+    return event.position.era < published.reads.era ||
+        (beganBefore && event.position < published.position)
+}
+
 private fun reduceChanges(
     state: GatewayState,
     event: PublishedEvent.ChangesRead
 ): Step<GatewayState> {
     val answered = noteStoreAnswer(state, event.read)
         .then { withReads(it) { reads -> reads.copy(historyLosses = 0) }.step() }
-    return if (isOutdated(state, event.revision)) {
-        answered.then { noteOutdated(it, event.revision, event.era.era) }
-            .then { startReadUnlessAwaited(it) }
-    } else if (event.changes.isEmpty()) {
-        answered.then { startReadUnlessAwaited(it) }
-    } else {
-        answered.then { logChanges(it, event) }
-            .then { applyChanges(it, event.revision, event.changes) }
+    return when {
+        !continuesRecords(state, event) ->
+            answered.then { noteOutdated(it, event.position) }.then { startReadUnlessAwaited(it) }
+
+        event.changes.isEmpty() -> answered.then { startReadUnlessAwaited(it) }
+
+        else -> answered.then { logChanges(it, event) }
+            .then { applyChanges(it, event.position, event.changes) }
+            .then { keepChanges(it, event) }
             .then { readLater(it) }
     }
 }
 
-/** Whether an answer was overtaken by newer records, such as those of another gateway. */
-private fun isOutdated(state: GatewayState, revision: Revision): Boolean =
-    revision < state.published.revision
+/**
+ * Whether changes follow on the records in force without a gap, and are of the latest known era.
+ * Changes after a position of an earlier era may leave some out whose revisions were used before.
+ */
+private fun continuesRecords(state: GatewayState, event: PublishedEvent.ChangesRead): Boolean {
+    val held = state.published.position
+    return isOfLatestEra(state) && event.position.era == held.era &&
+        event.after <= held && event.position >= held
+}
 
 /** Logs and counts records that are dropped because newer ones are in force. */
-private fun noteOutdated(
-    state: GatewayState,
-    revision: Revision,
-    era: StoreEra
-): Step<GatewayState> = state.step(
-    logEffect(
-        LogEvent.RECORDS_OUTDATED,
-        "revision" to revision,
-        "era" to era,
-        "held" to state.published.revision,
-        "held_era" to state.published.reads.era,
-        "unchanged" to state.published.appliedAt?.let { state.common.now - it }
-    ),
-    countRead(READ_OUTDATED)
-)
+private fun noteOutdated(state: GatewayState, position: StorePosition): Step<GatewayState> =
+    state.step(
+        logEffect(
+            LogEvent.RECORDS_OUTDATED,
+            "revision" to position.revision,
+            "era" to position.era,
+            "held" to state.published.position.revision,
+            "held_era" to state.published.position.era,
+            "unchanged" to state.published.appliedAt?.let { state.common.now - it }
+        ),
+        countRead(READ_OUTDATED)
+    )
 
 /** Replaces all records by those of a full read [from] the store or another gateway. */
 internal fun applySnapshot(
     state: GatewayState,
     from: String,
-    revision: Revision,
-    records: List<PublishedRecord>
+    position: StorePosition,
+    records: List<PublishedRecord>,
+    items: ReadItems
 ): Step<GatewayState> = removeUnlisted(state, records)
-    .then { applyChanges(it, revision, records) }
-    .then { if (state.published.revision == Revision.NONE) beginCautiously(it) else it.step() }
+    .then { applyChanges(it, position, records) }
+    .then { keepAll(it, records, items) }
+    .then { if (state.published.position == StorePosition.NONE) beginCautiously(it) else it.step() }
     .then {
         it.step(
             logEffect(
                 LogEvent.RECORDS_READ,
                 "from" to from,
-                "revision" to revision,
-                "era" to it.published.reads.era,
+                "revision" to position.revision,
+                "era" to position.era,
                 "version" to it.published.table?.version,
                 "records" to records.size,
                 "endpoints" to it.endpoints.size
@@ -148,7 +166,7 @@
     return state.step(
         logEffect(
             LogEvent.CHANGES_READ,
-            "before" to state.published.revision,
+            "before" to state.published.position.revision,
             "revision" to event.revision,
             "era" to event.era.era,
             "changes" to event.changes.size
@@ -158,15 +176,19 @@
 
 private fun applyChanges(
     state: GatewayState,
-    revision: Revision,
+    position: StorePosition,
     records: List<PublishedRecord>
 ): Step<GatewayState> = state.step()
     .thenEach(records) { next, record -> applyRecord(next, record) }
-    .then { withRevision(it, revision).step() }
+    .then { withPosition(it, position).step() }
     .then { withReadableChanges(it).step() }
 
-private fun withRevision(state: GatewayState, revision: Revision): GatewayState = state.copy(
-    published = state.published.copy(revision = revision, appliedAt = state.common.now)
+private fun withPosition(state: GatewayState, position: StorePosition): GatewayState = state.copy(
+    published = state.published.copy(
+        position = position,
+        latestReadBefore = state.published.reads.latest,
+        appliedAt = state.common.now
+    )
 )
 
 private fun applyRecord(state: GatewayState, record: PublishedRecord): Step<GatewayState> =
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
@@ -6,12 +6,14 @@
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.Moment
-import org.gypsumroute.api.Revision
+import org.gypsumroute.api.ReadId
 import org.gypsumroute.api.RoutingTable
+import org.gypsumroute.api.StorePosition
 
 /**
- * The published records as read so far, except the endpoints, and the [reads] of the store. Records
- * were last taken over at [appliedAt], which is null if none were.
+ * The published records as read so far, except the endpoints, and the [reads] of the store. The
+ * records in force have the [position]. When they were taken over, at [appliedAt], the latest read
+ * that had begun was [latestReadBefore]; [appliedAt] is null if there are no records.
  *
  * [peerReadPending] tells whether a read from another gateway is in progress, and [failedPeer]
  * which one could not be read last. Records of [lapsedEndpoints] were removed around an outage of
@@ -19,7 +21,8 @@
  * again.
  */
 data class PublishedState(
-    val revision: Revision = Revision.NONE,
+    val position: StorePosition = StorePosition.NONE,
+    val latestReadBefore: ReadId = ReadId.NONE,
     val table: RoutingTable? = null,
     val routes: RouteIndex = RouteIndex.EMPTY,
     val dataCentresOut: PersistentSet<DataCentreId> = persistentSetOf(),
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreEras.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreEras.kt
@@ -5,13 +5,14 @@
 
 import org.gypsumroute.api.AnsweredEra
 import org.gypsumroute.api.EraProblem
+import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Metric
 import org.gypsumroute.api.MetricLabels
-import org.gypsumroute.api.Revision
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
 import org.gypsumroute.api.StoreEra
+import org.gypsumroute.api.StorePosition
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
@@ -20,6 +21,8 @@
 /** Source of an era that an answer of the store stated. */
 private const val STORE_SOURCE = "store"
 
+private fun learntBy(source: String): String = if (source == STORE_SOURCE) source else "member"
+
 /** Takes over the era of an answer of the store. */
 internal fun noteAnsweredEra(state: GatewayState, answered: AnsweredEra?): Step<GatewayState> {
     if (answered == null) return state.step()
@@ -27,24 +30,41 @@
         .then { noteEraProblem(it, answered.problem) }
 }
 
-/** Notes that the store has reached this [era], if it is later than the one known. */
-private fun learnEra(state: GatewayState, era: StoreEra, source: String): Step<GatewayState> {
+/**
+ * Notes that the store has reached this [era], if it is later than the one known. All records are
+ * read next then, since a change may stand at a revision that was read before.
+ */
+internal fun learnEra(state: GatewayState, era: StoreEra, source: String): Step<GatewayState> {
     val before = state.published.reads.era
     if (era <= before) return state.step()
     val learnt = withReads(state) { it.copy(era = era, eraProblems = it.eraProblems.clear()) }
-    if (state.published.revision == Revision.NONE) return learnt.step()
+    if (state.published.position == StorePosition.NONE) return learnt.step()
     return learnt.step(
         logEffect(
             LogEvent.STORE_ERA_CHANGED,
             "before" to before,
             "after" to era,
             "source" to source,
-            "revision" to state.published.revision
+            "revision" to state.published.position.revision
         ),
-        RuntimeEffect.Count(Metric.STORE_ERAS, MetricLabels(outcome = source))
+        RuntimeEffect.Count(Metric.STORE_ERAS, MetricLabels(outcome = learntBy(source)))
     )
 }
 
+/**
+ * Takes over the era that another gateway reports, and reads the records of the new era at once: a
+ * call that waits for changes may not answer for some time.
+ */
+internal fun noteReportedEra(state: GatewayState, report: GatewayReport): Step<GatewayState> {
+    val learnt = learnEra(state, report.position.era, "${report.host}")
+    val isNew = learnt.state.published.reads.era > state.published.reads.era
+    return if (isNew && state.published.storeReachable) learnt.then { startRead(it) } else learnt
+}
+
+/** Whether the records in force are of the latest known era of the store. */
+internal fun isOfLatestEra(state: GatewayState): Boolean =
+    state.published.position.era == state.published.reads.era
+
 /** Counts answers without a usable era, and logs the first of each kind in an era. */
 private fun noteEraProblem(state: GatewayState, problem: EraProblem?): Step<GatewayState> {
     if (problem == null) return state.step()
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
@@ -18,9 +18,9 @@
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.ReadId
-import org.gypsumroute.api.Revision
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.Step
+import org.gypsumroute.api.StorePosition
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.gateway.READ_OVERDUE
@@ -36,24 +36,17 @@
     if (state.published.reads.awaited) state.step() else startRead(state)
 
 /**
- * Requests the changes after the known revision, or all records if none is known or these changes
- * cannot be read. After a failure the store is not to wait for changes, so that its answer shows at
+ * Requests the changes after the known position, or all records if none is known, the store is in a
+ * later era, or these changes cannot be read. After a failure the store is not to wait for changes, so that its answer shows at
  * once that it can be reached.
  */
 internal fun startRead(state: GatewayState): Step<GatewayState> {
     val published = state.published
-    if (published.revision == Revision.NONE || published.reads.changesUnreadable) {
-        return startFullRead(state)
-    }
+    val isFollowed = published.position != StorePosition.NONE && isOfLatestEra(state)
+    if (!isFollowed || published.reads.changesUnreadable) return startFullRead(state)
     val wait = if (published.storeReachable) watchTime(state) else Duration.ZERO
     return startAwaited(state, wait + answerTime(state)) { read ->
-        PublishedEffect.WatchChanges(
-            read,
-            published.revision,
-            wait,
-            newConnection = !published.storeReachable,
-            knownEra = published.reads.era
-        )
+        PublishedEffect.WatchChanges(read, published.position, wait, !published.storeReachable)
     }
 }
 
@@ -143,7 +136,7 @@
     val logged = ended.step(
         logEffect(
             LogEvent.HISTORY_LOST,
-            "revision" to ended.published.revision,
+            "revision" to ended.published.position.revision,
             "era" to event.era.era,
             "losses" to losses,
             "unchanged" to ended.published.appliedAt?.let { ended.common.now - it }
@@ -197,7 +190,7 @@
             LogEvent.READ_FAILED,
             "failures" to reads.failures + 1,
             "silent" to reads.silenceAt(state.common.now),
-            "revision" to state.published.revision,
+            "revision" to state.published.position.revision,
             "era" to reads.era,
             "cause" to cause
         )
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayExtremesTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayExtremesTest.kt
@@ -110,6 +110,7 @@
 
         8 -> PublishedEvent.ChangesRead(
             harness.latestRead,
+            harness.state.published.position,
             Revision(++revision),
             extremes.someRecords()
         )
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -8,6 +8,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
+import org.gypsumroute.api.AnsweredEra
 import org.gypsumroute.api.AttemptOutcome
 import org.gypsumroute.api.Bytes
 import org.gypsumroute.api.CallerLimits
@@ -46,6 +47,8 @@
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.ServiceRule
 import org.gypsumroute.api.Step
+import org.gypsumroute.api.StoreEra
+import org.gypsumroute.api.StorePosition
 import org.gypsumroute.api.TableVersion
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.Tokens
@@ -160,19 +163,33 @@
     fun feedSnapshot(
         table: RoutingTable?,
         endpoints: List<EndpointRecord>,
-        revision: Long = state.published.revision.value + 1
+        revision: Long = state.published.position.revision.value + 1,
+        era: Long = state.published.reads.era.value
     ): List<Effect> = feed(
         PublishedEvent.SnapshotRead(
             latestRead,
             Revision(revision),
             listOfNotNull(table?.let { PublishedRecord.Table(it) }) +
-                endpoints.map { PublishedRecord.Endpoint(it) }
+                endpoints.map { PublishedRecord.Endpoint(it) },
+            AnsweredEra(StoreEra(era))
         )
     )
 
     /** Feeds changed records of the next revision. */
-    fun feedChanges(vararg records: PublishedRecord): List<Effect> = feed(
-        PublishedEvent.ChangesRead(latestRead, state.published.revision.next(), records.asList())
+    fun feedChanges(vararg records: PublishedRecord): List<Effect> {
+        val position = state.published.position
+        return feedChanges(position.revision.value + 1, position, records.asList())
+    }
+
+    /** Feeds what changed [after] a position up to [revision] in the same or another era. */
+    fun feedChanges(
+        revision: Long,
+        after: StorePosition,
+        records: List<PublishedRecord>,
+        era: StoreEra = after.era,
+        read: ReadId = latestRead
+    ): List<Effect> = feed(
+        PublishedEvent.ChangesRead(read, after, Revision(revision), records, AnsweredEra(era))
     )
 
     /** The read of the store that was started last. */
@@ -208,8 +225,6 @@
     }
 }
 
-private fun Revision.next() = Revision(value + 1)
-
 internal val homeDataCentre = DataCentreId("home")
 internal val plainService = ServiceId("plain")
 internal val modelService = ServiceId("model")
@@ -330,7 +345,7 @@
     host: String,
     sequence: Long = 1,
     incarnation: String = "1",
-    revision: Revision = Revision.NONE,
+    position: StorePosition = StorePosition.NONE,
     ready: Boolean = true,
     loads: Map<EndpointId, EngineLoad> = emptyMap(),
     members: List<EndpointAddress> = emptyList(),
@@ -341,7 +356,7 @@
         HostId(host),
         IncarnationId(incarnation),
         sequence,
-        revision,
+        position,
         storeReachable = true,
         ready = ready,
         loads = loads,
@@ -349,3 +364,7 @@
         storeAnswerAge = storeAnswerAge
     )
 )
+
+/** Position of a store that states no eras. */
+internal fun positionOf(revision: Long, era: Long = 0) =
+    StorePosition(StoreEra(era), Revision(revision))
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayRecoveryTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayRecoveryTest.kt
@@ -99,7 +99,7 @@
         harness.loseHistory()
         reductionFails = false
         harness.advance(200.milliseconds)
-        assertEquals(1, harness.effects.filterIsInstance<PublishedEffect>().size)
+        assertEquals(1, harness.effects.filterIsInstance<PublishedEffect.Read>().size)
     }
 
     @Test
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RandomGatewayRun.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/RandomGatewayRun.kt
@@ -17,7 +17,6 @@
 import org.gypsumroute.api.Repetition
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.api.ReservationEvent
-import org.gypsumroute.api.Revision
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.core.FailingReducer
 import org.gypsumroute.core.reduce
@@ -217,7 +216,7 @@
     private fun publishSnapshot(): List<Effect> = harness.feedSnapshot(
         tableOf(nextVersion++, *sampleTable.routes.toTypedArray()),
         List(random.nextInt(0, 8)) { randomEndpoint() }.distinctBy { it.id },
-        maxOf(harness.state.published.revision.value + random.nextInt(-1, 3), 1)
+        maxOf(harness.state.published.position.revision.value + random.nextInt(-1, 3), 1)
     )
 
     private fun answerReservation(): List<Effect> {
@@ -255,7 +254,7 @@
             "10.0.0.${random.nextInt(2, 5)}",
             sequence = random.nextLong(1, 100),
             incarnation = "${random.nextInt(2)}",
-            revision = Revision(random.nextLong(0, 50)),
+            position = positionOf(random.nextLong(0, 50)),
             ready = random.nextBoolean(),
             loads = mapOf(EndpointId("m0") to EngineLoad(openRequests = random.nextInt(20)))
         )
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/PublishedReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/PublishedReducerTest.kt
@@ -12,12 +12,12 @@
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
-import org.gypsumroute.api.Revision
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.TableVersion
 import org.gypsumroute.core.gateway.GatewayHarness
 import org.gypsumroute.core.gateway.endpointOf
+import org.gypsumroute.core.gateway.positionOf
 import org.gypsumroute.core.gateway.readyHarness
 import org.gypsumroute.core.gateway.reportFrom
 import org.gypsumroute.core.gateway.sampleTable
@@ -28,7 +28,7 @@
     private fun report(revision: Long, storeAnswerAge: Duration? = null) = reportFrom(
         "10.0.0.2",
         revision,
-        revision = Revision(revision),
+        position = positionOf(revision),
         storeAnswerAge = storeAnswerAge
     )
 
@@ -46,12 +46,12 @@
     fun `each read is followed by a watch for changes after the last revision`() {
         val harness = readyHarness(endpointOf("e1"))
         val watch = harness.effects.filterIsInstance<PublishedEffect.WatchChanges>().single()
-        assertEquals(harness.state.published.revision, watch.revision)
+        assertEquals(harness.state.published.position, watch.after)
         harness.feedChanges(PublishedRecord.Endpoint(endpointOf("e2")))
         assertEquals(setOf("e1", "e2"), harness.knownEndpoints())
         harness.advance(10.milliseconds)
         val next = harness.effects.filterIsInstance<PublishedEffect.WatchChanges>().single()
-        assertEquals(Revision(watch.revision.value + 1), next.revision)
+        assertEquals(positionOf(watch.after.revision.value + 1), next.after)
     }
 
     /**
@@ -74,7 +74,9 @@
 
     private fun GatewayHarness.readsAll() = effects.any { it is PublishedEffect.ReadSnapshot }
 
-    private fun GatewayHarness.reads() = effects.filterIsInstance<PublishedEffect>()
+    private fun GatewayHarness.kept() = effects.filterIsInstance<PublishedEffect.KeepRecords>()
+
+    private fun GatewayHarness.reads() = effects.filterIsInstance<PublishedEffect.Read>()
 
     private fun GatewayHarness.watches() = effects.filterIsInstance<PublishedEffect.WatchChanges>()
 
@@ -187,11 +189,17 @@
         harness.failRead()
         assertEquals(
             emptyList(),
-            harness.advance(90.milliseconds).filterIsInstance<PublishedEffect>()
+            harness.advance(90.milliseconds).filterIsInstance<PublishedEffect.Read>()
+        )
+        assertEquals(
+            1,
+            harness.advance(20.milliseconds).filterIsInstance<PublishedEffect.Read>().size
         )
-        assertEquals(1, harness.advance(20.milliseconds).filterIsInstance<PublishedEffect>().size)
         repeat(20) { harness.failRead() }
-        assertEquals(1, harness.advance(501.milliseconds).filterIsInstance<PublishedEffect>().size)
+        assertEquals(
+            1,
+            harness.advance(501.milliseconds).filterIsInstance<PublishedEffect.Read>().size
+        )
     }
 
     /**
@@ -211,7 +219,7 @@
         assertEquals(1, harness.reads().size)
         harness.feedSnapshot(sampleTable.copy(version = version(7)), listOf(endpointOf("e1")))
         assertEquals(version(7), harness.state.published.table?.version)
-        assertEquals(harness.state.published.revision, harness.watches().single().revision)
+        assertEquals(harness.state.published.position, harness.watches().single().after)
     }
 
     /** Else a store whose changes are never readable would be asked as fast as it answers. */
@@ -221,7 +229,7 @@
         var reads = 0
         repeat(20) {
             harness.failRead("malformed", repeatable = false)
-            reads += harness.advance(50.milliseconds).filterIsInstance<PublishedEffect>().size
+            reads += harness.advance(50.milliseconds).filterIsInstance<PublishedEffect.Read>().size
             if (harness.readsAll()) {
                 harness.feedSnapshot(sampleTable, listOf(endpointOf("e1")))
                 reads += harness.reads().size
@@ -242,12 +250,12 @@
         harness.feed(
             PublishedEvent.PeerRecordsRead(
                 HostId("10.0.0.2"),
-                Revision(9),
+                positionOf(9),
                 listOf(PublishedRecord.Table(sampleTable.copy(version = version(4))))
             )
         )
         assertEquals(version(4), harness.state.published.table?.version)
-        assertEquals(Revision(9), harness.state.published.revision)
+        assertEquals(positionOf(9), harness.state.published.position)
         harness.failRead()
         assertEquals(emptyList(), harness.effects.filterIsInstance<PublishedEffect.ReadFromPeer>())
     }
@@ -261,7 +269,7 @@
         harness.feed(
             PublishedEvent.PeerRecordsRead(
                 HostId("10.0.0.2"),
-                Revision(9),
+                positionOf(9),
                 listOf(PublishedRecord.Table(sampleTable))
             )
         )
@@ -275,19 +283,20 @@
     @Test
     fun `changes that arrive after newer records of another gateway do not replace them`() {
         val harness = readyHarness(endpointOf("e1"), endpointOf("e2"))
-        val before = harness.state.published.revision.value
+        val before = harness.state.published.position.revision.value
         val newer = listOf(
             PublishedRecord.Table(sampleTable.copy(version = version(4))),
             PublishedRecord.Endpoint(endpointOf("e1", leaving = true)),
             PublishedRecord.Endpoint(endpointOf("e2"))
         )
         val peer = HostId("10.0.0.2")
-        harness.feed(PublishedEvent.PeerRecordsRead(peer, Revision(before + 2), newer))
+        harness.feed(PublishedEvent.PeerRecordsRead(peer, positionOf(before + 2), newer))
         val late = listOf(PublishedRecord.Endpoint(endpointOf("e1")))
-        harness.feed(PublishedEvent.ChangesRead(harness.latestRead, Revision(before + 1), late))
+        harness.feedChanges(before + 1, positionOf(before), late)
         assertTrue(harness.state.endpoints.getValue(EndpointId("e1")).record.leaving)
-        assertEquals(Revision(before + 2), harness.state.published.revision)
-        assertEquals(Revision(before + 2), harness.watches().single().revision)
+        assertEquals(emptyList(), harness.kept())
+        assertEquals(positionOf(before + 2), harness.state.published.position)
+        assertEquals(positionOf(before + 2), harness.watches().single().after)
     }
 
     /**
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducerTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducerTest.kt
@@ -15,7 +15,6 @@
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.ReadId
-import org.gypsumroute.api.Revision
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.core.gateway.GatewayHarness
 import org.gypsumroute.core.gateway.endpointOf
@@ -33,7 +32,7 @@
         effects.filterIsInstance<PublishedEffect.ReadSnapshot>()
 
     private fun GatewayHarness.feedChange(read: ReadId, revision: Long) =
-        feed(PublishedEvent.ChangesRead(read, Revision(revision), listOf(leaving)))
+        feedChanges(revision, state.published.position, listOf(leaving), read = read)
 
     /**
      * Guards against a change that comes into force too late because the call that waits for it is
@@ -80,7 +79,7 @@
         }
         // The change may come just after an answer, before the next read starts.
         val changedAt = harness.now
-        harness.feedChange(harness.latestRead, harness.state.published.revision.value + 1)
+        harness.feedChange(harness.latestRead, harness.state.published.position.revision.value + 1)
         val dead = awaitNextRead(harness)
         while (harness.latestRead == dead) harness.advance(1.milliseconds)
         return harness.now - changedAt
@@ -176,7 +175,7 @@
         harness.advance(slow.wait + 500.milliseconds)
         harness.failRead()
         harness.feedChange(slow.read, 2)
-        val reads = harness.advance(300.milliseconds).filterIsInstance<PublishedEffect>()
+        val reads = harness.advance(300.milliseconds).filterIsInstance<PublishedEffect.Read>()
         assertEquals(1, reads.size)
     }
 }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/CrashSimulation.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/CrashSimulation.kt
@@ -22,6 +22,7 @@
 import org.gypsumroute.core.gateway.endpointOf
 import org.gypsumroute.core.gateway.headOf
 import org.gypsumroute.core.gateway.modelService
+import org.gypsumroute.core.gateway.positionOf
 
 /** One simulation run; the seed determines all requests and choices. */
 internal class CrashSimulation(val scenario: CrashScenario, seed: Long) {
@@ -102,7 +103,14 @@
     private fun publish(record: PublishedRecord) {
         revision++
         gateways.forEach {
-            it.feed(PublishedEvent.ChangesRead(ReadId(1), Revision(revision), listOf(record)))
+            it.feed(
+                PublishedEvent.ChangesRead(
+                    ReadId(1),
+                    positionOf(revision - 1),
+                    Revision(revision),
+                    listOf(record)
+                )
+            )
         }
     }
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/SimulatedGateway.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/SimulatedGateway.kt
@@ -29,6 +29,7 @@
 import org.gypsumroute.api.Revision
 import org.gypsumroute.api.RuntimeEffect
 import org.gypsumroute.api.RuntimeEvent
+import org.gypsumroute.api.StorePosition
 import org.gypsumroute.api.TimerId
 import org.gypsumroute.api.UnixTime
 import org.gypsumroute.core.CommonState
@@ -217,7 +218,7 @@
         HostId("gateway-$index"),
         IncarnationId("$index"),
         sequence = 0,
-        revision = Revision.NONE,
+        position = StorePosition.NONE,
         storeReachable = true,
         ready = true,
         loads = emptyMap(),
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
@@ -42,6 +42,8 @@
 import org.gypsumroute.api.RuntimeEvent
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.ServiceRule
+import org.gypsumroute.api.StoreEra
+import org.gypsumroute.api.StorePosition
 import org.gypsumroute.api.TableVersion
 import org.gypsumroute.api.Tokens
 import org.gypsumroute.api.UnixTime
@@ -164,7 +166,7 @@
     host = HostId("gateway-2"),
     incarnation = IncarnationId("1"),
     sequence = sequence,
-    revision = Revision(1),
+    position = StorePosition(StoreEra.NONE, Revision(1)),
     storeReachable = true,
     ready = true,
     loads = List(engines) { EndpointId("engine-$it") to sampleLoad }.toMap(),
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/PublishedItemsCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/PublishedItemsCodec.kt
@@ -14,6 +14,8 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import org.gypsumroute.api.Revision
+import org.gypsumroute.api.StoreEra
+import org.gypsumroute.api.StorePosition
 
 /**
  * Encodes items for another gateway. Throws IllegalArgumentException if their CBOR form exceeds 8
@@ -21,7 +23,10 @@
  */
 fun encodeItems(items: PublishedItems): ByteArray {
     val records = items.items.map { (key, value) -> ItemRecord(key, value) }
-    val body = cbor.encodeToByteArray(ItemsRecord(items.revision.value, records))
+    val position = items.position
+    val body = cbor.encodeToByteArray(
+        ItemsRecord(position.revision.value, records, position.era.value)
+    )
     return byteArrayOf(ITEMS_VERSION) + deflate(body, MAX_ITEMS_BYTES)
 }
 
@@ -35,14 +40,16 @@
     return Either.catch {
         val body = inflate(bytes.copyOfRange(1, bytes.size), MAX_ITEMS_BYTES)
         val record = cbor.decodeFromByteArray<ItemsRecord>(body)
-        PublishedItems(Revision(record.revision), record.items.associate { it.key to it.value })
+        val position = StorePosition(StoreEra(record.era), Revision(record.revision))
+        PublishedItems(position, record.items.associate { it.key to it.value })
     }.mapLeft { ProtocolError("undecodable items: ${it::class.simpleName}") }
 }
 
 @Serializable
 private class ItemsRecord(
     @CborLabel(label = 1) val revision: Long,
-    @CborLabel(label = 2) val items: List<ItemRecord>
+    @CborLabel(label = 2) val items: List<ItemRecord>,
+    @CborLabel(label = 3) val era: Long = 0
 )
 
 @Serializable
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -29,6 +29,8 @@
 import org.gypsumroute.api.Revision
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.ServiceUse
+import org.gypsumroute.api.StoreEra
+import org.gypsumroute.api.StorePosition
 import org.gypsumroute.api.UnixTime
 
 /** Encodes a report as the payload of one datagram. */
@@ -52,7 +54,7 @@
     host = report.host.value,
     incarnation = report.incarnation.value,
     sequence = report.sequence,
-    revision = report.revision.value,
+    revision = report.position.revision.value,
     storeReachable = report.storeReachable,
     loads = report.loads.map { (endpoint, load) -> recordOf(endpoint, load) },
     members = report.members.map { it.toString() },
@@ -65,7 +67,8 @@
     },
     storeAnswerAge = report.storeAnswerAge?.let(::ageOf),
     organisationUse = report.organisationUse.map(::recordOf),
-    paces = report.paces.map(::recordOf)
+    paces = report.paces.map(::recordOf),
+    era = report.position.era.value
 )
 
 private fun recordOf(pace: ReportedPace) = PaceRecord(
@@ -140,7 +143,7 @@
     host = HostId(record.host),
     incarnation = IncarnationId(record.incarnation),
     sequence = record.sequence,
-    revision = Revision(record.revision),
+    position = StorePosition(StoreEra(record.era), Revision(record.revision)),
     storeReachable = record.storeReachable,
     ready = record.ready,
     loads = record.loads.associate { EndpointId(it.endpoint) to loadOf(it) },
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/PublishedItemsCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/PublishedItemsCodecTest.kt
@@ -6,6 +6,8 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 import org.gypsumroute.api.Revision
+import org.gypsumroute.api.StoreEra
+import org.gypsumroute.api.StorePosition
 
 class PublishedItemsCodecTest {
     private fun items(seed: Int): PublishedItems {
@@ -13,7 +15,11 @@
         val items = List(random.nextInt(0, 20)) {
             "key-$it" to random.nextBytes(random.nextInt(0, 300))
         }
-        return PublishedItems(Revision(random.nextLong(0, Long.MAX_VALUE)), items.toMap())
+        val revision = Revision(random.nextLong(0, Long.MAX_VALUE))
+        return PublishedItems(
+            StorePosition(StoreEra(random.nextLong(0, 9)), revision),
+            items.toMap()
+        )
     }
 
     @Test
@@ -21,7 +27,7 @@
         repeat(100) { seed ->
             val original = items(seed)
             val decoded = assertNotNull(decodeItems(encodeItems(original)).getOrNull())
-            assertEquals(original.revision, decoded.revision)
+            assertEquals(original.position, decoded.position)
             assertEquals(original.items.keys, decoded.items.keys)
             for ((key, value) in original.items) assertContentEquals(value, decoded.items[key])
         }
@@ -47,7 +53,9 @@
             "servers/a\u0000\n" to ByteArray(1024 * 1024) { '['.code.toByte() },
             "" to byteArrayOf(-1, -2)
         )
-        val decoded = decodeItems(encodeItems(PublishedItems(Revision(7), odd))).getOrNull()
+        val decoded = decodeItems(
+            encodeItems(PublishedItems(StorePosition(StoreEra(2), Revision(7)), odd))
+        ).getOrNull()
         assertEquals(odd.keys, assertNotNull(decoded).items.keys)
     }
 
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
@@ -28,6 +28,8 @@
 import org.gypsumroute.api.Revision
 import org.gypsumroute.api.ServiceId
 import org.gypsumroute.api.ServiceUse
+import org.gypsumroute.api.StoreEra
+import org.gypsumroute.api.StorePosition
 import org.gypsumroute.api.UnixTime
 
 class ReportCodecTest {
@@ -53,7 +55,10 @@
         host = HostId("gateway-${nextInt()}"),
         incarnation = IncarnationId("i${nextLong()}"),
         sequence = nextLong(),
-        revision = Revision(nextLong(0, Long.MAX_VALUE)),
+        position = StorePosition(
+            StoreEra(nextLong(0, Long.MAX_VALUE)),
+            Revision(nextLong(0, Long.MAX_VALUE))
+        ),
         storeReachable = nextBoolean(),
         ready = nextBoolean(),
         loads = List(nextInt(0, 5)) { EndpointId("e$it") to load() }.toMap(),
