Read the store after a growing pause while its answers bring nothing

Cause: a full read followed at once on each lost history, and a watch on each full read, whatever they brought. The class is a loop of reads without a pause: the same holds for records that are dropped as outdated, and for a store that answers watches without waiting.

Answers in a row that bring neither records nor a wait for them are counted now. The read after the first comes at once, as a full read usually helps; each further one waits 100 ms longer, up to 500 ms. Changes, a watch that waited, and a change of the store's era begin anew.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
@@ -53,7 +53,7 @@
     val answered = noteStoreAnswer(state, event.read)
     return if (isOvertaken(state, event)) {
         answered.then { noteOutdated(it, event.position) }
-            .then { startReadUnlessAwaited(withReadableChanges(it)) }
+            .then { readAfterFruitless(withReadableChanges(it)) }
     } else {
         answered.then { applySnapshot(it, "store", event.position, event.records, event.items) }
             .then { startReadUnlessAwaited(it) }
@@ -77,14 +77,16 @@
     event: PublishedEvent.ChangesRead
 ): Step<GatewayState> {
     val answered = noteStoreAnswer(state, event.read)
-        .then { withReads(it) { reads -> reads.copy(historyLosses = 0) }.step() }
     return when {
         !continuesRecords(state, event) ->
-            answered.then { noteOutdated(it, event.position) }.then { startReadUnlessAwaited(it) }
+            answered.then { noteOutdated(it, event.position) }.then { readAfterFruitless(it) }
 
-        event.changes.isEmpty() -> answered.then { startReadUnlessAwaited(it) }
+        event.changes.isEmpty() && answeredEarly(state, event.read) ->
+            answered.then { readAfterFruitless(it) }
 
-        else -> answered.then { logChanges(it, event) }
+        event.changes.isEmpty() -> answered.then { startReadUnlessAwaited(withFruitfulAnswer(it)) }
+
+        else -> answered.then { logChanges(withFruitfulAnswer(it), event) }
             .then { applyChanges(it, event.position, event.changes) }
             .then { keepChanges(it, event) }
             .then { readLater(it) }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreEras.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreEras.kt
@@ -37,7 +37,9 @@
 internal fun learnEra(state: GatewayState, era: StoreEra, source: String): Step<GatewayState> {
     val before = state.published.reads.era
     if (era <= before) return state.step()
-    val learnt = withReads(state) { it.copy(era = era, eraProblems = it.eraProblems.clear()) }
+    val learnt = withReads(state) {
+        it.copy(era = era, eraProblems = it.eraProblems.clear(), fruitlessAnswers = 0)
+    }
     if (state.published.position == StorePosition.NONE) return learnt.step()
     return learnt.step(
         logEffect(
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
@@ -45,13 +45,13 @@
     val isFollowed = published.position != StorePosition.NONE && isOfLatestEra(state)
     if (!isFollowed || published.reads.changesUnreadable) return startFullRead(state)
     val wait = if (published.storeReachable) watchTime(state) else Duration.ZERO
-    return startAwaited(state, wait + answerTime(state)) { read ->
+    return startAwaited(state, wait) { read ->
         PublishedEffect.WatchChanges(read, published.position, wait, !published.storeReachable)
     }
 }
 
 private fun startFullRead(state: GatewayState): Step<GatewayState> =
-    startAwaited(state, answerTime(state)) { read ->
+    startAwaited(state, wait = Duration.ZERO) { read ->
         PublishedEffect.ReadSnapshot(
             read,
             newConnection = !state.published.storeReachable,
@@ -61,14 +61,43 @@
 
 private inline fun startAwaited(
     state: GatewayState,
-    limit: Duration,
+    wait: Duration,
     effect: (ReadId) -> PublishedEffect
 ): Step<GatewayState> {
     val read = state.published.reads.latest.next()
-    return withReads(state) { it.copy(latest = read, awaited = true) }
-        .step(RuntimeEffect.SetTimer(TimerId.ReadOverdue, limit), effect(read))
+    val limit = wait + answerTime(state)
+    return withReads(state) {
+        it.copy(latest = read, awaited = true, latestAt = state.common.now, latestWait = wait)
+    }.step(RuntimeEffect.SetTimer(TimerId.ReadOverdue, limit), effect(read))
 }
 
+/** Whether the store answered a watch without changes although it was to wait for them. */
+internal fun answeredEarly(state: GatewayState, read: ReadId): Boolean {
+    val reads = state.published.reads
+    return read == reads.latest && state.common.now - reads.latestAt < reads.latestWait / 2
+}
+
+/** Notes an answer that brought records, or waited for them in vain. */
+internal fun withFruitfulAnswer(state: GatewayState): GatewayState =
+    withReads(state) { it.copy(fruitlessAnswers = 0) }
+
+/**
+ * Reads again after an answer that brought nothing: at once after the first in a row, since a full
+ * read usually helps, and then after a wait that grows with their number.
+ */
+internal fun readAfterFruitless(state: GatewayState): Step<GatewayState> {
+    val before = state.published.reads.fruitlessAnswers
+    val counted = withReads(state) { it.copy(fruitlessAnswers = before + 1) }
+    return when {
+        counted.published.reads.awaited -> counted.step()
+        before == 0 -> startRead(counted)
+        else -> counted.step(RuntimeEffect.SetTimer(TimerId.PublishedRead, readBackoff(before)))
+    }
+}
+
+private fun readBackoff(attempts: Int): Duration =
+    (READ_BACKOFF_STEP * attempts).coerceAtMost(MAX_READ_BACKOFF)
+
 /** Notes that records were read, so that the changes after them are asked for next. */
 internal fun withReadableChanges(state: GatewayState): GatewayState =
     withReads(state) { it.copy(changesUnreadable = false) }
@@ -131,18 +160,16 @@
     state: GatewayState,
     event: PublishedEvent.HistoryLost
 ): Step<GatewayState> {
-    val losses = state.published.reads.historyLosses + 1
-    val ended = withReads(withoutAwaited(state, event.read)) { it.copy(historyLosses = losses) }
-    val logged = ended.step(
+    val ended = withReads(withoutAwaited(state, event.read)) { it.copy(changesUnreadable = true) }
+    return ended.step(
         logEffect(
             LogEvent.HISTORY_LOST,
             "revision" to ended.published.position.revision,
             "era" to event.era.era,
-            "losses" to losses,
+            "fruitless" to ended.published.reads.fruitlessAnswers + 1,
             "unchanged" to ended.published.appliedAt?.let { ended.common.now - it }
         )
-    )
-    return if (ended.published.reads.awaited) logged else logged.then { startFullRead(it) }
+    ).then { readAfterFruitless(it) }
 }
 
 /** The answer to a read has begun or goes on, so it is not overdue yet. */
@@ -172,10 +199,8 @@
         return if (event.repeatable) state.step() else noteUnreadable(state, event.cause)
     }
     return noteFailure(withoutAwaited(state, event.read), event.cause, event.repeatable).then {
-        val wait = READ_BACKOFF_STEP * it.published.reads.failures
-        it.step(
-            RuntimeEffect.SetTimer(TimerId.PublishedRead, wait.coerceAtMost(MAX_READ_BACKOFF))
-        )
+        val wait = readBackoff(it.published.reads.failures)
+        it.step(RuntimeEffect.SetTimer(TimerId.PublishedRead, wait))
     }
 }
 
@@ -230,7 +255,7 @@
 /** A small part of the time within which a change has to be in force. */
 private val MAX_READ_SPACING: Duration = 400.milliseconds
 
-/** The wait before the next read grows by this with each failed read in a row. */
+/** The wait before the next read grows by this with each failed or fruitless one in a row. */
 private val READ_BACKOFF_STEP: Duration = 100.milliseconds
 private val MAX_READ_BACKOFF: Duration = 500.milliseconds
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReads.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReads.kt
@@ -18,8 +18,11 @@
  * the known revision could not be read, so that all records are read instead.
  *
  * [era] is the latest era of the store that is known, and [eraProblems] are those that were logged
- * since it began. [historyLosses] counts the times in a row that the store no longer had the
- * changes that were asked for.
+ * since it began.
+ *
+ * The latest read began at [latestAt] and lets the store wait for [latestWait] before it answers.
+ * [fruitlessAnswers] counts the answers in a row that came without that wait and without records to
+ * take over, so that reading again at once would only bring the next of them.
  */
 data class StoreReads(
     val latest: ReadId = ReadId.NONE,
@@ -30,7 +33,9 @@
     val changesUnreadable: Boolean = false,
     val era: StoreEra = StoreEra.NONE,
     val eraProblems: PersistentSet<EraProblem> = persistentSetOf(),
-    val historyLosses: Int = 0
+    val latestAt: Moment = Moment.START,
+    val latestWait: Duration = Duration.ZERO,
+    val fruitlessAnswers: Int = 0
 ) {
     /** Time since the store last answered this gateway, or null if it never has. */
     fun silenceAt(now: Moment): Duration? = lastAnswerAt?.let { now - it }
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReadLogTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReadLogTest.kt
@@ -23,14 +23,14 @@
         ?.fields?.associate { it.name to it.value }
 
     @Test
-    fun `a lost history is logged with its number in a row and the age of the records`() {
+    fun `a lost history is logged with the number of fruitless answers and the age of the records`() {
         val harness = readyHarness(endpointOf("e1"))
         harness.advance(50.milliseconds)
         val era = AnsweredEra(StoreEra(2))
         harness.feed(PublishedEvent.HistoryLost(harness.latestRead, era))
         harness.feed(PublishedEvent.HistoryLost(harness.latestRead, era))
         val fields = harness.fieldsOf(LogEvent.HISTORY_LOST)
-        assertEquals("2", fields?.get("losses"))
+        assertEquals("2", fields?.get("fruitless"))
         assertEquals("2", fields?.get("era"))
         assertEquals("50ms", fields?.get("unchanged"))
     }
