Keep what an older copy of the store lacks until it is written again

Cause: a full read replaced all that was known, and nothing remembered endpoints that were removed. The class is an older state that is taken for the present one because it was read last.

From the first full read after the store went back, for the grace period of endpoints and four heartbeats, what was known holds against the copy: a listed record that is no newer than the known one by its own start and sequence is passed over, an endpoint that was removed within two minutes stays out unless a later start is listed, unlisted endpoints have the grace period to register again, and data centres that are out stay out. Changes that follow the return are newer than the copy and count at once. Records that are gone have lapsed by the end; all records are read again then and count as they are. Gateways report what records said of leaving endpoints meanwhile, for those that start then.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/TimerId.kt
@@ -75,4 +75,7 @@
      * End of the time after an outage of the store in which expired endpoint records may return.
      */
     data object EndpointReturn : TimerId
+
+    /** End of the time in which what an older copy of the store lacks is written again. */
+    data object RestoreEnd : TimerId
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/GatewayReducer.kt
@@ -28,6 +28,7 @@
 import org.gypsumroute.core.gateway.exchange.reduceExchange
 import org.gypsumroute.core.gateway.exchange.reducePeriodicReport
 import org.gypsumroute.core.gateway.exchange.reportChangedLoads
+import org.gypsumroute.core.gateway.records.endRestore
 import org.gypsumroute.core.gateway.records.reducePublished
 import org.gypsumroute.core.gateway.records.reduceReadOverdue
 import org.gypsumroute.core.gateway.records.reduceReadProgressed
@@ -84,6 +85,7 @@
         is TimerId.PublishedRead -> startReadUnlessAwaited(state)
         is TimerId.ReadOverdue -> reduceReadOverdue(state)
         is TimerId.EndpointReturn -> removeLapsedEndpoints(state)
+        is TimerId.RestoreEnd -> endRestore(state)
         is TimerId.AdmissionReview -> reviewWaiting(state)
         is TimerId.ReservationRenewal -> renewReservations(state)
         is TimerId.ReportBeat -> reducePeriodicReport(state)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/StatementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/StatementReducer.kt
@@ -24,6 +24,7 @@
 import org.gypsumroute.api.UnixTime
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.gateway.crashes.windowOf
+import org.gypsumroute.core.gateway.records.isRestoring
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
 import org.gypsumroute.core.thenEach
@@ -56,17 +57,20 @@
     markLeaving(next, leaving.endpoint, mark, source)
 }
 
-/** What this gateway heard itself of endpoints that are still published. */
+/**
+ * What this gateway heard itself of endpoints that are still published. After the store came back
+ * from an older copy, also what their records said, since a gateway that starts then cannot read it.
+ */
 internal fun leavingReport(state: GatewayState, turn: Long): List<ReportedLeaving> {
-    val own = state.leaving.entries
+    val reported = state.leaving.entries
         .filter { (id, mark) ->
-            mark.own &&
+            (mark.own || state.isRestoring) &&
                 state.endpoints[id]?.let { isLeaving(state, it) } == true
         }
         .map { (id, mark) ->
             ReportedLeaving(id, mark.startedAt, state.common.now - mark.statedAt)
         }
-    return windowOf(own, MAX_REPORTED_LEAVING, turn)
+    return windowOf(reported, MAX_REPORTED_LEAVING, turn)
 }
 
 /** Whether the endpoint leaves, by its record or by what it stated in an answer. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/EndpointRecords.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/EndpointRecords.kt
@@ -37,8 +37,10 @@
         record.leaving && !previous.record.leaving -> LogEvent.ENDPOINT_LEAVING
         else -> null
     }
-    val lapsed = state.published.lapsedEndpoints.remove(record.id)
-    val published = state.published.copy(lapsedEndpoints = lapsed)
+    val published = state.published.copy(
+        lapsedEndpoints = state.published.lapsedEndpoints.remove(record.id),
+        removedEndpoints = state.published.removedEndpoints.remove(record.id)
+    )
     val changed = withPublishedLeaving(
         state.copy(endpoints = state.endpoints.put(record.id, next), published = published),
         record
@@ -65,7 +67,10 @@
     } else {
         state.copy(
             endpoints = state.endpoints.remove(id),
-            published = published.copy(lapsedEndpoints = published.lapsedEndpoints.remove(id))
+            published = published.copy(
+                lapsedEndpoints = published.lapsedEndpoints.remove(id),
+                removedEndpoints = withRemoved(state, endpoint.record)
+            )
         ).step(
             endpointLog(LogEvent.ENDPOINT_REMOVED, endpoint.record),
             ForwardEffect.CloseConnections(endpoint.record.address)
@@ -89,7 +94,7 @@
         .step(RuntimeEffect.SetTimer(TimerId.EndpointReturn, wait))
 }
 
-private fun endpointLog(event: LogEvent, record: EndpointRecord) = logEffect(
+internal fun endpointLog(event: LogEvent, record: EndpointRecord) = logEffect(
     event,
     "endpoint" to record.id,
     "service" to record.service,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
@@ -124,8 +124,9 @@
     position: StorePosition,
     records: List<PublishedRecord>,
     items: ReadItems
-): Step<GatewayState> = removeUnlisted(state, records)
-    .then { applyChanges(it, position, records) }
+): Step<GatewayState> = beginRestoreIfBack(state, position)
+    .then { removeUnlisted(it, records) }
+    .then { applyListed(it, position, records) }
     .then { keepAll(it, records, items) }
     .then { if (state.published.position == StorePosition.NONE) beginCautiously(it) else it.step() }
     .then {
@@ -142,7 +143,20 @@
         )
     }
 
-/** Removes endpoints, and marks of data centres as out, that a full read no longer lists. */
+private fun applyListed(
+    state: GatewayState,
+    position: StorePosition,
+    records: List<PublishedRecord>
+): Step<GatewayState> {
+    val (usable, logs) = withoutOlderThanKnown(state, records)
+    return state.step(*logs.toTypedArray()).then { applyChanges(it, position, usable) }
+}
+
+/**
+ * Removes endpoints, and marks of data centres as out, that a full read no longer lists. After the
+ * store came back from a copy, such a mark stays until it is removed or had the time to be written
+ * again.
+ */
 private fun removeUnlisted(
     state: GatewayState,
     records: List<PublishedRecord>
@@ -150,17 +164,12 @@
     val listed = records.filterIsInstance<PublishedRecord.Endpoint>().map { it.record.id }.toSet()
     val listedOut =
         records.filterIsInstance<PublishedRecord.DataCentreOut>().map { it.dataCentre }.toSet()
+    val notOut = if (state.isRestoring) emptyList() else state.published.dataCentresOut - listedOut
     return state.step()
         .thenEach(state.endpoints.keys.filterNot { it in listed }) { next, id ->
             removeEndpoint(next, id)
         }
-        .thenEach(
-            state.published.dataCentresOut.filterNot {
-                it in listedOut
-            }
-        ) { next, dataCentre ->
-            takeDataCentreBack(next, dataCentre)
-        }
+        .thenEach(notOut) { next, dataCentre -> takeDataCentreBack(next, dataCentre) }
 }
 
 private fun logChanges(state: GatewayState, event: PublishedEvent.ChangesRead): Step<GatewayState> {
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
@@ -1,6 +1,8 @@
 package org.gypsumroute.core.gateway.records
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.EndpointId
@@ -19,6 +21,9 @@
  * which one could not be read last. Records of [lapsedEndpoints] were removed around an outage of
  * the store; these endpoints are retained until [lapsedRetainedUntil], so that they can register
  * again.
+ *
+ * After the store came back from an older copy, what it lacks is written again until
+ * [restoreEndsAt]. [removedEndpoints] are those whose removal such a copy may lack.
  */
 data class PublishedState(
     val position: StorePosition = StorePosition.NONE,
@@ -31,7 +36,9 @@
     val failedPeer: HostId? = null,
     val lapsedEndpoints: PersistentSet<EndpointId> = persistentSetOf(),
     val lapsedRetainedUntil: Moment = Moment.START,
-    val appliedAt: Moment? = null
+    val appliedAt: Moment? = null,
+    val restoreEndsAt: Moment = Moment.START,
+    val removedEndpoints: PersistentMap<EndpointId, RemovedEndpoint> = persistentMapOf()
 ) {
     /** Whether the latest read of the store succeeded. */
     val storeReachable: Boolean get() = reads.failures == 0
--- /dev/null
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
@@ -0,0 +1,118 @@
+/*
+ * The time after the store came back from an older copy.
+ *
+ * The copy lacks what operators and endpoints wrote last, until they write it again: an endpoint is
+ * listed as ready although it left, or not at all although it lives, and a data centre as in service
+ * although it was taken out. Until then, what was known before stays in force, except where the
+ * store has something newer.
+ */
+package org.gypsumroute.core.gateway.records
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlinx.collections.immutable.PersistentMap
+import org.gypsumroute.api.EndpointId
+import org.gypsumroute.api.EndpointRecord
+import org.gypsumroute.api.LogEvent
+import org.gypsumroute.api.PublishedRecord
+import org.gypsumroute.api.RuntimeEffect
+import org.gypsumroute.api.Step
+import org.gypsumroute.api.StorePosition
+import org.gypsumroute.api.TimerId
+import org.gypsumroute.core.GatewayState
+import org.gypsumroute.core.gateway.endpoints.isBefore
+import org.gypsumroute.core.logEffect
+import org.gypsumroute.core.step
+import org.gypsumroute.core.then
+import org.gypsumroute.core.thenEach
+
+/** Whether the store is known to have come back from an older copy a short time ago. */
+internal val GatewayState.isRestoring: Boolean get() = common.now < published.restoreEndsAt
+
+/** Begins the time of a restore if the store went back from the records in force to [position]. */
+internal fun beginRestoreIfBack(state: GatewayState, position: StorePosition): Step<GatewayState> {
+    val held = state.published.position
+    val wentBack = position.era > held.era || position < held
+    if (held == StorePosition.NONE || !wentBack) return state.step()
+    val time = restoreTime(state)
+    val published = state.published.copy(restoreEndsAt = state.common.now + time)
+    return state.copy(published = published).step(
+        logEffect(
+            LogEvent.RESTORE_STARTED,
+            "before" to held.revision,
+            "after" to position.revision,
+            "era" to position.era,
+            "for" to time
+        ),
+        RuntimeEffect.SetTimer(TimerId.RestoreEnd, time)
+    ).then { retainLapsed(it) }
+}
+
+/**
+ * The records of a full read, without those of endpoints that are older than what is known of them.
+ */
+internal fun withoutOlderThanKnown(
+    state: GatewayState,
+    records: List<PublishedRecord>
+): Step<List<PublishedRecord>> {
+    if (!state.isRestoring) return Step(records, emptyList())
+    val (older, usable) = records.partition {
+        it is PublishedRecord.Endpoint && isOlderThanKnown(state, it.record)
+    }
+    val logs = older.filterIsInstance<PublishedRecord.Endpoint>()
+        .filter { isUnusable(state, it.record) }
+        .map { endpointLog(LogEvent.RECORD_OUTDATED, it.record) }
+    return Step(usable, logs)
+}
+
+/** The sequence of a removed record says nothing of its removal, so only a later start counts. */
+private fun isOlderThanKnown(state: GatewayState, listed: EndpointRecord): Boolean {
+    val known = state.endpoints[listed.id]?.record
+    val removed = state.published.removedEndpoints[listed.id]?.record
+    return when {
+        known != null -> !isNewer(listed, known)
+        removed != null -> !removed.startedAt.isBefore(listed.startedAt)
+        else -> false
+    }
+}
+
+private fun isNewer(listed: EndpointRecord, known: EndpointRecord): Boolean =
+    known.startedAt.isBefore(listed.startedAt) ||
+        (known.startedAt == listed.startedAt && known.sequence < listed.sequence)
+
+/** Whether the record names an endpoint to use that is known to leave or to be gone. */
+private fun isUnusable(state: GatewayState, listed: EndpointRecord): Boolean =
+    !listed.leaving && state.endpoints[listed.id]?.record?.leaving != false
+
+/** Takes the store's records for complete from now on, and reads all of them again. */
+internal fun endRestore(state: GatewayState): Step<GatewayState> {
+    val published = state.published.copy(
+        restoreEndsAt = state.common.now,
+        removedEndpoints = state.published.removedEndpoints.clear()
+    )
+    val ended = state.copy(published = published)
+    return withReads(ended) { it.copy(changesUnreadable = true) }
+        .step(logEffect(LogEvent.RESTORE_ENDED, "revision" to published.position.revision))
+        .then { if (it.published.storeReachable) startRead(it) else it.step() }
+}
+
+/** Remembers the removal of an endpoint for as long as a copy of the store may be old. */
+internal fun withRemoved(
+    state: GatewayState,
+    record: EndpointRecord
+): PersistentMap<EndpointId, RemovedEndpoint> {
+    val now = state.common.now
+    val removed = state.published.removedEndpoints
+    val outdated = removed.filterValues { now - it.removedAt > REMOVAL_RETENTION }.keys
+    return removed.builder().apply { keys.removeAll(outdated) }
+        .build().put(record.id, RemovedEndpoint(record, now))
+}
+
+/**
+ * Endpoints have written themselves again by the end of the grace period, and the records of those
+ * that are gone have lapsed some heartbeats after the store came back.
+ */
+private fun restoreTime(state: GatewayState): Duration =
+    state.bounds.endpointGracePeriod + state.bounds.endpointLapseTime * 2
+
+private val REMOVAL_RETENTION: Duration = 2.minutes
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/Extremes.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/Extremes.kt
@@ -157,7 +157,8 @@
         positiveCount(),
         leaving = random.nextInt(6) == 0,
         coldRemaining = if (random.nextBoolean()) Duration.ZERO else duration(),
-        startedAt = startedAt()
+        startedAt = startedAt(),
+        sequence = version
     )
 
     private fun table() = RoutingTable(
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -304,7 +304,8 @@
     dataCentre: DataCentreId = homeDataCentre,
     leaving: Boolean = false,
     coldRemaining: Duration = Duration.ZERO,
-    startStamp: Long? = 1
+    startStamp: Long? = 1,
+    sequence: Long = 1
 ) = EndpointRecord(
     id = EndpointId(id),
     service = service,
@@ -313,7 +314,8 @@
     slots = if (service == modelService) 11 else 6,
     leaving = leaving,
     coldRemaining = coldRemaining,
-    startedAt = startStamp?.let { UnixTime(it) }
+    startedAt = startStamp?.let { UnixTime(it) },
+    sequence = sequence
 )
 
 internal fun headOf(
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/SimulatedRecords.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/simulation/SimulatedRecords.kt
@@ -40,7 +40,8 @@
     slots = deployment.profile.slots,
     leaving = false,
     coldRemaining = Duration.ZERO,
-    startedAt = UnixTime(1)
+    startedAt = UnixTime(1),
+    sequence = 1
 )
 
 /** A route for each kind of request. */
--- a/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
+++ b/gypsumroute-system-test/src/main/kotlin/org/gypsumroute/capacity/GatewayBenchmarks.kt
@@ -159,7 +159,8 @@
     slots = 16,
     leaving = false,
     coldRemaining = Duration.ZERO,
-    startedAt = UnixTime(1)
+    startedAt = UnixTime(1),
+    sequence = 1
 )
 
 private fun sampleReport(engines: Int, sequence: Long) = GatewayReport(
