Take a routing table that the store lost from another gateway

Cause: records were read from another gateway only while the store does not answer. Gateways did not tell which table they hold, so that one with an older table had no way to know.

Reports carry the version of the table (a new field with a default). A gateway reads the table of another one whose version is higher although its records are no newer: versions only rise as the store goes on, so that a store which has these records and not this table has lost it. In steady state the condition cannot hold, so no call is added. The rest of such records is not used.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/GatewayReport.kt
@@ -7,7 +7,8 @@
  * work at endpoints.
  *
  * A later report of the same [incarnation] has a higher [sequence] and replaces all earlier ones,
- * so a lost report is not repeated. [position] is that of the records it holds, and
+ * so a lost report is not repeated. [position] is that of the records it holds, [tableVersion] that
+ * of its routing table, or null if it has none, and
  * [storeReachable] tells whether its last read of the store succeeded. [members] are the gateways
  * that it hears from. [ready] tells whether the load balancer may send it new connections.
  * [crashes] is what it knows of prompts under which endpoints ended. [age] is the time since it
@@ -30,5 +31,6 @@
     val leaving: List<ReportedLeaving> = emptyList(),
     val storeAnswerAge: Duration? = null,
     val organisationUse: List<ServiceUse> = emptyList(),
-    val paces: List<ReportedPace> = emptyList()
+    val paces: List<ReportedPace> = emptyList(),
+    val tableVersion: TableVersion? = null
 )
--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/KeptRecords.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/KeptRecords.kt
@@ -12,5 +12,8 @@
     CHANGED,
 
     /** The same except the routing table, whose kept version is the later one. */
-    CHANGED_BUT_TABLE
+    CHANGED_BUT_TABLE,
+
+    /** The routing table; the others stay. */
+    TABLE
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/exchange/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/exchange/ExchangeReducer.kt
@@ -228,7 +228,8 @@
         leaving = leavingReport(state, next.sequence),
         storeAnswerAge = state.published.reads.silenceAt(now),
         organisationUse = state.shares.report,
-        paces = paceReport(state)
+        paces = paceReport(state),
+        tableVersion = state.published.table?.version
     )
     return state.copy(exchange = next)
         .step(ExchangeEffect.SendReport(targets.toList(), report))
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
@@ -1,14 +1,18 @@
 /*
- * Records that are read from another gateway while the store does not answer this one.
+ * Records that are read from another gateway: while the store does not answer this one, and a routing
+ * table that the store lost.
  */
 package org.gypsumroute.core.gateway.records
 
 import org.gypsumroute.api.EndpointAddress
+import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.HostId
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
+import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.Step
+import org.gypsumroute.api.TableVersion
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.gateway.exchange.Member
 import org.gypsumroute.core.gateway.exchange.reportsAt
@@ -17,30 +21,51 @@
 import org.gypsumroute.core.then
 
 /**
- * Reads the records of the gateway with the latest position if that is later than this gateway's,
- * while the store does not answer or has not yet provided a routing table.
+ * Reads the records of another gateway if they are newer than this gateway's, or if it has a routing
+ * table that the store lost.
  */
 internal fun readFromPeerIfNewer(state: GatewayState): Step<GatewayState> {
     val published = state.published
-    if (published.peerReadPending || (published.storeReachable && published.table != null)) {
-        return state.step()
-    }
-    val (address, member) = newestMember(state) ?: return state.step()
+    if (published.peerReadPending) return state.step()
+    val isFollowed = published.storeReachable && published.table != null
+    val (address, member) = (if (isFollowed) null else newestMember(state))
+        ?: memberWithLostTable(state)
+        ?: return state.step()
     return state.copy(published = published.copy(peerReadPending = true))
         .step(PublishedEffect.ReadFromPeer(member.report.host, address))
 }
 
+/** The gateway with the latest of the records that are newer than this gateway's. */
+private fun newestMember(state: GatewayState): Map.Entry<EndpointAddress, Member>? =
+    reportingMembers(state) { it.position > state.published.position }
+        .maxByOrNull { it.value.report.position }
+
 /**
- * The gateway with the latest of the records that are newer than this gateway's. One that no longer
- * reports has probably ended, and the one that failed last is asked only if no other has any.
+ * The gateway with the latest table that is later than this gateway's although its records are not.
+ * Tables only get later as the store goes on, so the store came back from a copy without that one.
  */
-private fun newestMember(state: GatewayState): Map.Entry<EndpointAddress, Member>? {
-    val published = state.published
-    val newer = state.exchange.members.entries.filter { (_, member) ->
-        member.report.position > published.position && reportsAt(state.common.now, member)
+private fun memberWithLostTable(state: GatewayState): Map.Entry<EndpointAddress, Member>? =
+    reportingMembers(state) {
+        it.position <= state.published.position && isLater(it.tableVersion, state)
+    }.maxByOrNull { it.value.report.tableVersion ?: TableVersion(0) }
+
+private fun isLater(version: TableVersion?, state: GatewayState): Boolean {
+    val held = state.published.table?.version
+    return version != null && (held == null || version > held)
+}
+
+/**
+ * The gateways whose reports fit. One that no longer reports has probably ended, and the one that
+ * failed last is asked only if no other fits.
+ */
+private fun reportingMembers(
+    state: GatewayState,
+    fits: (GatewayReport) -> Boolean
+): List<Map.Entry<EndpointAddress, Member>> {
+    val fitting = state.exchange.members.entries.filter { (_, member) ->
+        reportsAt(state.common.now, member) && fits(member.report)
     }
-    return newer.filter { it.value.report.host != published.failedPeer }.ifEmpty { newer }
-        .maxByOrNull { it.value.report.position }
+    return fitting.filter { it.value.report.host != state.published.failedPeer }.ifEmpty { fitting }
 }
 
 internal fun reducePeerRecords(
@@ -48,11 +73,21 @@
     event: PublishedEvent.PeerRecordsRead
 ): Step<GatewayState> {
     val noted = withFailedPeer(notePeerAnswer(state), null)
-    if (event.position <= noted.published.position) return noted.step()
+    if (event.position <= noted.published.position) return acceptLostTable(noted, event)
     return learnEra(noted, event.position.era, event.peer.value)
         .then { applySnapshot(it, event.peer.value, event.position, event.records, event.items) }
 }
 
+/** Accepts the table among records that are otherwise no newer, if it is later. */
+private fun acceptLostTable(
+    state: GatewayState,
+    event: PublishedEvent.PeerRecordsRead
+): Step<GatewayState> {
+    val table = event.records.filterIsInstance<PublishedRecord.Table>().lastOrNull()
+    if (!isLater(table?.table?.version, state) || table == null) return state.step()
+    return acceptTable(state, table).then { keepTable(it, event.items) }
+}
+
 internal fun reducePeerReadFailed(
     state: GatewayState,
     event: PublishedEvent.PeerReadFailed
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
@@ -228,7 +228,7 @@
 }
 
 /** Accepts a table only if its version is higher, since reads may arrive out of order. */
-private fun acceptTable(state: GatewayState, record: PublishedRecord.Table): Step<GatewayState> {
+internal fun acceptTable(state: GatewayState, record: PublishedRecord.Table): Step<GatewayState> {
     val table = record.table
     val current = state.published.table
     if (current != null && table.version <= current.version) return state.step()
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/RecordsKept.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/RecordsKept.kt
@@ -37,6 +37,10 @@
     }
 )
 
+/** Keeps the table of records that are otherwise no newer. */
+internal fun keepTable(state: GatewayState, items: ReadItems): Step<GatewayState> =
+    keep(state, items, KeptRecords.TABLE)
+
 /** Whether the table in force is not the one among these records. */
 private fun holdsLaterTable(state: GatewayState, records: List<PublishedRecord>): Boolean {
     val listed = records.filterIsInstance<PublishedRecord.Table>().lastOrNull()
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/GatewayHarness.kt
@@ -351,7 +351,8 @@
     ready: Boolean = true,
     loads: Map<EndpointId, EngineLoad> = emptyMap(),
     members: List<EndpointAddress> = emptyList(),
-    storeAnswerAge: Duration? = null
+    storeAnswerAge: Duration? = null,
+    tableVersion: Long? = null
 ) = ExchangeEvent.ReportReceived(
     EndpointAddress(host, 7000),
     GatewayReport(
@@ -363,7 +364,8 @@
         ready = ready,
         loads = loads,
         members = members,
-        storeAnswerAge = storeAnswerAge
+        storeAnswerAge = storeAnswerAge,
+        tableVersion = tableVersion?.let { TableVersion(it) }
     )
 )
 
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -31,6 +31,7 @@
 import org.gypsumroute.api.ServiceUse
 import org.gypsumroute.api.StoreEra
 import org.gypsumroute.api.StorePosition
+import org.gypsumroute.api.TableVersion
 import org.gypsumroute.api.UnixTime
 
 /** Encodes a report as the payload of one datagram. */
@@ -68,7 +69,8 @@
     storeAnswerAge = report.storeAnswerAge?.let(::ageOf),
     organisationUse = report.organisationUse.map(::recordOf),
     paces = report.paces.map(::recordOf),
-    era = report.position.era.value
+    era = report.position.era.value,
+    tableVersion = report.tableVersion?.value
 )
 
 private fun recordOf(pace: ReportedPace) = PaceRecord(
@@ -164,7 +166,8 @@
     },
     storeAnswerAge = record.storeAnswerAge?.let(::durationOf),
     organisationUse = record.organisationUse.take(MAX_USE_ENTRIES).map(::serviceUseOf),
-    paces = record.paces.map(::paceOf)
+    paces = record.paces.map(::paceOf),
+    tableVersion = record.tableVersion?.let { TableVersion(it) }
 )
 
 private fun partsOf(first: Long, further: List<Long>): List<PromptPartId> =
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
@@ -32,7 +32,8 @@
     @CborLabel(label = 13) val storeAnswerAge: Int? = null,
     @CborLabel(label = 14) val organisationUse: List<ServiceUseRecord> = emptyList(),
     @CborLabel(label = 15) val paces: List<PaceRecord> = emptyList(),
-    @CborLabel(label = 16) val era: Long = 0
+    @CborLabel(label = 16) val era: Long = 0,
+    @CborLabel(label = 17) val tableVersion: Long? = null
 )
 
 /** Use of a service by the [largest] organisations and by all others; times in milliseconds. */
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
@@ -30,6 +30,7 @@
 import org.gypsumroute.api.ServiceUse
 import org.gypsumroute.api.StoreEra
 import org.gypsumroute.api.StorePosition
+import org.gypsumroute.api.TableVersion
 import org.gypsumroute.api.UnixTime
 
 class ReportCodecTest {
@@ -70,6 +71,7 @@
             ReportedLeaving(EndpointId("e$it"), start, duration())
         },
         storeAnswerAge = if (nextBoolean()) duration() else null,
+        tableVersion = if (nextBoolean()) TableVersion(nextLong()) else null,
         paces = List(nextInt(0, 4)) {
             val start = if (nextBoolean()) UnixTime(nextLong()) else null
             val ratio = nextInt(100, 3_200) / 100.0
