--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/StatementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/StatementReducer.kt
@@ -59,7 +59,8 @@
 
 /**
  * What this gateway heard itself of endpoints that are still published. After the store came back
- * from an older copy, also what their records said, since a gateway that starts then cannot read it.
+ * from an older copy, also what their records said, since a gateway that starts then cannot read
+ * that.
  */
 internal fun leavingReport(state: GatewayState, turn: Long): List<ReportedLeaving> {
     val reported = state.leaving.entries
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
@@ -1,6 +1,6 @@
 /*
- * Records that are read from another gateway: while the store does not answer this one, and a routing
- * table that the store lost.
+ * Records that are read from another gateway: while the store does not answer this one, and a
+ * routing table that the store lost.
  */
 package org.gypsumroute.core.gateway.records
 
@@ -21,8 +21,8 @@
 import org.gypsumroute.core.then
 
 /**
- * Reads the records of another gateway if they are newer than this gateway's, or if it has a routing
- * table that the store lost.
+ * Reads the records of another gateway if they are newer than this gateway's, or if it has a
+ * routing table that the store lost.
  */
 internal fun readFromPeerIfNewer(state: GatewayState): Step<GatewayState> {
     val published = state.published
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
@@ -36,9 +36,9 @@
     if (state.published.reads.awaited) state.step() else startRead(state)
 
 /**
- * Requests the changes after the known position, or all records if none is known, the store is in a
- * later era, or these changes cannot be read. After a failure the store is not to wait for changes, so that its answer shows at
- * once that it can be reached.
+ * Requests the changes after the known position, or all records if none is known, the store is in
+ * a later era, or these changes cannot be read. After a failure the store is not to wait for
+ * changes, so that its answer shows at once that it can be reached.
  */
 internal fun startRead(state: GatewayState): Step<GatewayState> {
     val published = state.published
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
@@ -2,9 +2,9 @@
  * The time after the store came back from an older copy.
  *
  * The copy lacks what operators and endpoints wrote last, until they write it again: an endpoint is
- * listed as ready although it left, or not at all although it lives, and a data centre as in service
- * although it was taken out. Until then, what was known before stays in force, except where the
- * store has something newer.
+ * listed as ready although it left, or not at all although it lives, and a data centre as in
+ * service although it was taken out. Until then, what was known before stays in force, except where
+ * the store has something newer.
  */
 package org.gypsumroute.core.gateway.records
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReadLogTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReadLogTest.kt
@@ -23,7 +23,7 @@
         ?.fields?.associate { it.name to it.value }
 
     @Test
-    fun `a lost history is logged with the number of fruitless answers and the age of the records`() {
+    fun `a lost history is logged with the fruitless answers and the age of the records`() {
         val harness = readyHarness(endpointOf("e1"))
         harness.advance(50.milliseconds)
         val era = AnsweredEra(StoreEra(2))
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReadRateTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReadRateTest.kt
@@ -52,8 +52,7 @@
     private fun GatewayHarness.feedFullRead(read: ReadId, revision: Long) =
         feed(PublishedEvent.SnapshotRead(read, Revision(revision), records))
 
-    private fun GatewayHarness.loseHistoryOf(read: ReadId) =
-        feed(PublishedEvent.HistoryLost(read))
+    private fun GatewayHarness.loseHistoryOf(read: ReadId) = feed(PublishedEvent.HistoryLost(read))
 
     /** The history is dropped faster than a full read and the next watch take. */
     @Test
