Take changes only after a position of the present era

What callers would see: a change that was acknowledged after the store came back from a copy never comes into force at a gateway, without a line. Cause: a watch of the earlier era that was open while a full read of the new one came into force was answered in the new era, with the changes after the old revision; only the era of the answer was compared, and an earlier position is lower than any of the new era.

The era of the position that was asked for has to be that of the records in force as well.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
@@ -95,12 +95,13 @@
 
 /**
  * Whether changes follow on the records in force without a gap, and are of the latest known era.
- * Changes after a position of an earlier era may leave some out whose revisions were used before.
+ * Changes after a position of an earlier era leave some out whose revisions were used before, also
+ * if the store answered in the present era.
  */
 private fun continuesRecords(state: GatewayState, event: PublishedEvent.ChangesRead): Boolean {
     val held = state.published.position
-    return isOfLatestEra(state) && event.position.era == held.era &&
-        event.after <= held && event.position >= held
+    val isOfOneEra = event.after.era == held.era && event.position.era == held.era
+    return isOfOneEra && isOfLatestEra(state) && held in event.after..event.position
 }
 
 /** Logs and counts records that are dropped because newer ones are in force. */
