Take the era of the store only from its own answers

What callers would see: changes skipped at all gateways after the next return of the store, once one report states an era that the store never had. Cause: a reported era counted as known, so that the store's own, lower era counted as fallen, and its next rise went unseen. A gateway that starts also read everything twice, since reports state an era before its first read is answered.

A later era in a report is a reason to read all records at once, and no more (2033); the answer of the store makes an era known.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
@@ -49,6 +49,7 @@
     STORE_ERA_UNUSABLE(2030, LogLevel.WARN, "an answer of the store states no usable era"),
     RESTORE_STARTED(2031, LogLevel.WARN, "what an older copy of the store lacks stays in force"),
     RESTORE_ENDED(2032, LogLevel.INFO, "the records of the store are complete again"),
+    STORE_ERA_REPORTED(2033, LogLevel.INFO, "another gateway reports a later era of the store"),
     PEER_CONNECTED(3001, LogLevel.INFO, "peer connected"),
     PEER_DISCONNECTED(3002, LogLevel.INFO, "peer disconnected"),
     PEER_SILENT(3003, LogLevel.WARN, "peer is silent; opening a fresh connection"),
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
@@ -56,7 +56,7 @@
             .then { readAfterFruitless(withReadableChanges(it)) }
     } else {
         answered.then { applySnapshot(it, "store", event.position, event.records, event.items) }
-            .then { startReadUnlessAwaited(it) }
+            .then { startReadUnlessAwaited(withFullReadTaken(it, event.read)) }
     }
 }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreEras.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreEras.kt
@@ -54,13 +54,25 @@
 }
 
 /**
- * Takes over the era that another gateway reports, and reads the records of the new era at once: a
- * call that waits for changes may not answer for some time.
+ * Reads all records at once if another gateway reports a later era, since a call that waits for
+ * changes may not answer for some time. Only an answer of the store itself makes the era known: one
+ * that it never had would hide its next return.
  */
 internal fun noteReportedEra(state: GatewayState, report: GatewayReport): Step<GatewayState> {
-    val learnt = learnEra(state, report.position.era, "${report.host}")
-    val isNew = learnt.state.published.reads.era > state.published.reads.era
-    return if (isNew && state.published.storeReachable) learnt.then { startRead(it) } else learnt
+    val published = state.published
+    val isNew = report.position.era > maxOf(published.reads.era, published.reads.reportedEra)
+    if (!isNew || published.position == StorePosition.NONE) return state.step()
+    val noted = withReads(state) { it.copy(reportedEra = report.position.era) }
+        .step(
+            logEffect(
+                LogEvent.STORE_ERA_REPORTED,
+                "known" to published.reads.era,
+                "reported" to report.position.era,
+                "member" to report.host
+            )
+        )
+        .then { requireFullRead(it).step() }
+    return if (published.storeReachable) noted.then { startRead(it) } else noted
 }
 
 /** Whether the records in force are of the latest known era of the store. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
@@ -37,13 +37,16 @@
 
 /**
  * Requests the changes after the known position, or all records if none is known, the store is in
- * a later era, or these changes cannot be read. After a failure the store is not to wait for
+ * a later era, these changes cannot be read, or they do not suffice. After a failure the store is not to wait for
  * changes, so that its answer shows at once that it can be reached.
  */
 internal fun startRead(state: GatewayState): Step<GatewayState> {
     val published = state.published
     val isFollowed = published.position != StorePosition.NONE && isOfLatestEra(state)
-    if (!isFollowed || published.reads.changesUnreadable) return startFullRead(state)
+    val reads = published.reads
+    if (!isFollowed || reads.changesUnreadable || reads.fullReadAfter != null) {
+        return startFullRead(state)
+    }
     val wait = if (published.storeReachable) watchTime(state) else Duration.ZERO
     return startAwaited(state, wait) { read ->
         PublishedEffect.WatchChanges(read, published.position, wait, !published.storeReachable)
@@ -98,6 +101,20 @@
 private fun readBackoff(attempts: Int): Duration =
     (READ_BACKOFF_STEP * attempts).coerceAtMost(MAX_READ_BACKOFF)
 
+/** Notes that changes do not suffice until a full read that begins from now on is taken over. */
+internal fun requireFullRead(state: GatewayState): GatewayState =
+    withReads(state) { it.copy(fullReadAfter = it.latest) }
+
+/** Notes that a full read was taken over. */
+internal fun withFullReadTaken(state: GatewayState, read: ReadId): GatewayState {
+    val after = state.published.reads.fullReadAfter
+    return if (after == null || read <= after) {
+        state
+    } else {
+        withReads(state) { it.copy(fullReadAfter = null) }
+    }
+}
+
 /** Notes that records were read, so that the changes after them are asked for next. */
 internal fun withReadableChanges(state: GatewayState): GatewayState =
     withReads(state) { it.copy(changesUnreadable = false) }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReads.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReads.kt
@@ -17,8 +17,11 @@
  * if there was no answer. [changesUnreadable] tells whether the changes after
  * the known revision could not be read, so that all records are read instead.
  *
- * [era] is the latest era of the store that is known, and [eraProblems] are those that were logged
- * since it began.
+ * [fullReadAfter] is the latest read that had begun when it became necessary to read all records, or
+ * null if it is not.
+ *
+ * [era] is the latest era that the store stated, [reportedEra] the latest one that another gateway
+ * reported, and [eraProblems] are the problems that were logged since [era] began.
  *
  * The latest read began at [latestAt] and lets the store wait for [latestWait] before it answers.
  * [fruitlessAnswers] counts the answers in a row that came without that wait and without records to
@@ -31,7 +34,9 @@
     val lastAnswerAt: Moment? = null,
     val lastHeardAt: Moment? = null,
     val changesUnreadable: Boolean = false,
+    val fullReadAfter: ReadId? = null,
     val era: StoreEra = StoreEra.NONE,
+    val reportedEra: StoreEra = StoreEra.NONE,
     val eraProblems: PersistentSet<EraProblem> = persistentSetOf(),
     val latestAt: Moment = Moment.START,
     val latestWait: Duration = Duration.ZERO,
