Read all records at the end of a restore, whatever comes in between

What callers would see after the store came back from a copy: a data centre or endpoints that get nothing for good, and requests at an endpoint that was removed, once the store goes back again. Causes: the full read at the end of a restore was dropped if changes came into force before its answer, and any change cleared the mark that asks for it while a watch was open; and removals were forgotten at the end, although a copy that is taken during the restore lists the endpoint too.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
@@ -86,17 +86,13 @@
 
 /** Takes the store's records for complete from now on, and reads all of them again. */
 internal fun endRestore(state: GatewayState): Step<GatewayState> {
-    val published = state.published.copy(
-        restoreEndsAt = state.common.now,
-        removedEndpoints = state.published.removedEndpoints.clear()
-    )
-    val ended = state.copy(published = published)
-    return withReads(ended) { it.copy(changesUnreadable = true) }
+    val published = state.published.copy(restoreEndsAt = state.common.now)
+    return requireFullRead(state.copy(published = published))
         .step(logEffect(LogEvent.RESTORE_ENDED, "revision" to published.position.revision))
         .then { if (it.published.storeReachable) startRead(it) else it.step() }
 }
 
-/** Remembers the removal of an endpoint for as long as a copy of the store may be old. */
+/** Remembers the removal of an endpoint for as long as a copy of the store may list it. */
 internal fun withRemoved(
     state: GatewayState,
     record: EndpointRecord
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreRestoreTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreRestoreTest.kt
@@ -44,19 +44,24 @@
     private fun GatewayHarness.comeBack(vararg records: PublishedRecord) {
         val era = AnsweredEra(StoreEra(state.published.reads.era.value + 1))
         feed(PublishedEvent.HistoryLost(latestRead, era))
-        feedCopy(era, records.asList())
+        feedFullRead(Revision(2), era, records.asList())
     }
 
-    private fun GatewayHarness.feedCopy(era: AnsweredEra, records: List<PublishedRecord>) {
+    private fun GatewayHarness.feedFullRead(
+        revision: Revision,
+        era: AnsweredEra,
+        records: List<PublishedRecord>
+    ) {
         val all = listOf(PublishedRecord.Table(sampleTable)) + records
-        feed(PublishedEvent.SnapshotRead(latestRead, Revision(2), all, era))
+        feed(PublishedEvent.SnapshotRead(latestRead, revision, all, era))
     }
 
     /** The full read at the end of the restore finds these records. */
     private fun GatewayHarness.endRestore(vararg records: PublishedRecord) {
         val reads = advance(10.seconds).filterIsInstance<PublishedEffect.ReadSnapshot>()
         assertTrue(reads.isNotEmpty(), "all records are read again at the end")
-        feedCopy(AnsweredEra(state.published.reads.era), records.asList())
+        val held = state.published.position
+        feedFullRead(held.revision, AnsweredEra(held.era), records.asList())
     }
 
     private fun listed(id: String, startStamp: Long? = 1, sequence: Long = 1) =
