Keep a lapsed endpoint that the copy of the store lists

What callers would see: an endpoint gets nothing from 2.3 s after the store came back from a copy until the end of the restore. Cause: its record had lapsed around the outage; the copy lists it as it was before, which is no newer than what is known and was passed over, so that it still counted as lapsed.

An endpoint whose listed record is passed over is listed all the same.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/EndpointRecords.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/EndpointRecords.kt
@@ -53,7 +53,7 @@
  * those endpoints register again, so lapsed endpoints are retained until the time for that is over.
  */
 internal fun removeEndpoint(state: GatewayState, id: EndpointId): Step<GatewayState> {
-    val endpoint = state.endpoints[id] ?: return state.step()
+    val endpoint = state.endpoints[id] ?: return withRemovedAgain(state, id).step()
     val published = state.published
     return if (state.common.now < published.lapsedRetainedUntil && !isLeaving(state, endpoint)) {
         val lapsed = published.lapsedEndpoints.add(id)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedReducer.kt
@@ -149,8 +149,12 @@
     position: StorePosition,
     records: List<PublishedRecord>
 ): Step<GatewayState> {
-    val (usable, logs) = withoutOlderThanKnown(state, records)
-    return state.step(*logs.toTypedArray()).then { applyChanges(it, position, usable) }
+    val (older, usable) = records.partition { isOlderThanKnown(state, it) }
+    return state.step()
+        .thenEach(older.filterIsInstance<PublishedRecord.Endpoint>()) { next, listed ->
+            skipOlder(next, listed.record)
+        }
+        .then { applyChanges(it, position, usable) }
 }
 
 /**
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
@@ -48,21 +48,22 @@
     ).then { retainLapsed(it) }
 }
 
-/**
- * The records of a full read, without those of endpoints that are older than what is known of them.
- */
-internal fun withoutOlderThanKnown(
-    state: GatewayState,
-    records: List<PublishedRecord>
-): Step<List<PublishedRecord>> {
-    if (!state.isRestoring) return Step(records, emptyList())
-    val (older, usable) = records.partition {
-        it is PublishedRecord.Endpoint && isOlderThanKnown(state, it.record)
+/** Whether a record of a full read is that of an endpoint of which something newer is known. */
+internal fun isOlderThanKnown(state: GatewayState, listed: PublishedRecord): Boolean =
+    state.isRestoring && listed is PublishedRecord.Endpoint &&
+        isOlderThanKnown(state, listed.record)
+
+/** Passes over the record of an endpoint. One that is known stays, and has not lapsed. */
+internal fun skipOlder(state: GatewayState, listed: EndpointRecord): Step<GatewayState> {
+    val published = state.published
+    val next = state.copy(
+        published = published.copy(lapsedEndpoints = published.lapsedEndpoints.remove(listed.id))
+    )
+    return if (isUnusable(state, listed)) {
+        next.step(endpointLog(LogEvent.RECORD_OUTDATED, listed))
+    } else {
+        next.step()
     }
-    val logs = older.filterIsInstance<PublishedRecord.Endpoint>()
-        .filter { isUnusable(state, it.record) }
-        .map { endpointLog(LogEvent.RECORD_OUTDATED, it.record) }
-    return Step(usable, logs)
 }
 
 /** The sequence of a removed record says nothing of its removal, so only a later start counts. */
@@ -104,6 +105,13 @@
         .build().put(record.id, RemovedEndpoint(record, now))
 }
 
+/** Remembers an endpoint for longer whose record is removed once more. */
+internal fun withRemovedAgain(state: GatewayState, id: EndpointId): GatewayState {
+    val known = state.published.removedEndpoints[id] ?: return state
+    val removed = state.published.removedEndpoints.put(id, known.copy(removedAt = state.common.now))
+    return state.copy(published = state.published.copy(removedEndpoints = removed))
+}
+
 /**
  * Endpoints have written themselves again by the end of the grace period, and the records of those
  * that are gone have lapsed some heartbeats after the store came back.
