Report which endpoints leave by their records as such

What callers would see after the store came back from a copy: an endpoint that restarted under its id while the store was away gets nothing from some gateways for good. Cause: during a restore a gateway also reports leaving endpoints that it knows from records; others took the time at which the record was read for that of a statement in an answer, which any start before it can have made.

A report says whether the record of a start said so (a new field with a default); then no later start counts as leaving. Only marks of that kind are added to reports during a restore.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ReportedLeaving.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/ReportedLeaving.kt
@@ -2,5 +2,13 @@
 
 import kotlin.time.Duration
 
-/** The start [startedAt] of an endpoint stated the time [ago] in an answer that it leaves. */
-data class ReportedLeaving(val endpoint: EndpointId, val startedAt: UnixTime?, val ago: Duration)
+/**
+ * The start [startedAt] of an endpoint said the time [ago] that it leaves: in an answer, or
+ * [byRecord], in its published record, which no later start can have written.
+ */
+data class ReportedLeaving(
+    val endpoint: EndpointId,
+    val startedAt: UnixTime?,
+    val ago: Duration,
+    val byRecord: Boolean = false
+)
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/LeavingMark.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/LeavingMark.kt
@@ -16,6 +16,9 @@
     val lastStart: UnixTime,
     val own: Boolean
 ) {
+    /** Whether the start can only have said so itself, as in its published record. */
+    val isOfRecord: Boolean get() = startedAt == lastStart
+
     /** Whether the start in a record leaves. A record without a start is not known to be newer. */
     fun holdsFor(start: UnixTime?): Boolean = start == null || start <= lastStart
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/StatementReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/StatementReducer.kt
@@ -53,7 +53,12 @@
     reported: List<ReportedLeaving>
 ): Step<GatewayState> = state.step().thenEach(reported) { next, leaving ->
     val statedAt = next.common.now + -leaving.ago
-    val mark = markOf(next, leaving.endpoint, leaving.startedAt, statedAt, own = false)
+    val start = leaving.startedAt
+    val mark = if (leaving.byRecord && start != null) {
+        LeavingMark(start, statedAt, lastStart = start, own = false)
+    } else {
+        markOf(next, leaving.endpoint, start, statedAt, own = false)
+    }
     markLeaving(next, leaving.endpoint, mark, source)
 }
 
@@ -65,11 +70,12 @@
 internal fun leavingReport(state: GatewayState, turn: Long): List<ReportedLeaving> {
     val reported = state.leaving.entries
         .filter { (id, mark) ->
-            (mark.own || state.isRestoring) &&
+            (mark.own || (state.isRestoring && mark.isOfRecord)) &&
                 state.endpoints[id]?.let { isLeaving(state, it) } == true
         }
         .map { (id, mark) ->
-            ReportedLeaving(id, mark.startedAt, state.common.now - mark.statedAt)
+            val age = state.common.now - mark.statedAt
+            ReportedLeaving(id, mark.startedAt, age, byRecord = mark.isOfRecord && !mark.own)
         }
     return windowOf(reported, MAX_REPORTED_LEAVING, turn)
 }
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportCodec.kt
@@ -64,7 +64,12 @@
     clearances = report.crashes.clearances.map(::recordOf),
     age = ageOf(report.age),
     leaving = report.leaving.map {
-        LeavingRecord(it.endpoint.value, it.startedAt?.milliseconds, ageOf(it.ago))
+        LeavingRecord(
+            it.endpoint.value,
+            it.startedAt?.milliseconds,
+            ageOf(it.ago),
+            it.byRecord
+        )
     },
     storeAnswerAge = report.storeAnswerAge?.let(::ageOf),
     organisationUse = report.organisationUse.map(::recordOf),
@@ -161,7 +166,8 @@
         ReportedLeaving(
             EndpointId(it.endpoint),
             it.startedAt?.let { start -> UnixTime(start) },
-            durationOf(it.ago)
+            durationOf(it.ago),
+            it.byRecord
         )
     },
     storeAnswerAge = record.storeAnswerAge?.let(::durationOf),
--- a/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
+++ b/gypsumroute-wire/src/main/kotlin/org/gypsumroute/wire/ReportRecords.kt
@@ -54,12 +54,16 @@
     @CborLabel(label = 3) val admitted: Long = 0
 )
 
-/** An endpoint that stated, [ago] milliseconds before, that its start at [startedAt] leaves. */
+/**
+ * An endpoint that said, [ago] milliseconds before, that its start at [startedAt] leaves: in an
+ * answer or [byRecord].
+ */
 @Serializable
 internal class LeavingRecord(
     @CborLabel(label = 1) val endpoint: String,
     @CborLabel(label = 2) val startedAt: Long? = null,
-    @CborLabel(label = 3) val ago: Int = 0
+    @CborLabel(label = 3) val ago: Int = 0,
+    @CborLabel(label = 4) val byRecord: Boolean = false
 )
 
 /**
--- a/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
+++ b/gypsumroute-wire/src/test/kotlin/org/gypsumroute/wire/ReportCodecTest.kt
@@ -68,7 +68,7 @@
         age = duration(),
         leaving = List(nextInt(0, 4)) {
             val start = if (nextBoolean()) UnixTime(nextLong()) else null
-            ReportedLeaving(EndpointId("e$it"), start, duration())
+            ReportedLeaving(EndpointId("e$it"), start, duration(), byRecord = nextBoolean())
         },
         storeAnswerAge = if (nextBoolean()) duration() else null,
         tableVersion = if (nextBoolean()) TableVersion(nextLong()) else null,
