Ask a host list that answers at once again after a pause

Cause: a poll that tells of no change was followed by the next at once, as it usually waits. The case of PlatformReturnTest (10 polls in 1 s at most) failed before and passes now.

--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
@@ -6,18 +6,18 @@
 
 import arrow.core.Either
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.gypsumroute.api.DocumentContent
 import org.gypsumroute.api.DocumentDecodeResult
 import org.gypsumroute.api.PlatformEffect
 import org.gypsumroute.api.PlatformEvent
-import org.gypsumroute.clients.ClientFailure
 import org.gypsumroute.clients.ConfigurationClient
 import org.gypsumroute.clients.ConfigurationListing
 import org.gypsumroute.clients.DocumentYamlCodec
 import org.gypsumroute.clients.HostListClient
-import org.gypsumroute.clients.HostListing
 import org.gypsumroute.runtime.EventSink
 
 /** Executes platform effects. The reducers have at most one call of each kind in progress. */
@@ -83,10 +83,11 @@
     }
 
     private suspend fun readHosts() {
-        var listing: Either<ClientFailure, HostListing?>
-        do {
+        var listing = hostList.read(hostsSequence)
+        while (listing.isRight() && listing.getOrNull() == null) {
+            delay(QUIET_POLL_PAUSE)
             listing = hostList.read(hostsSequence)
-        } while (listing.isRight() && listing.getOrNull() == null)
+        }
         when (listing) {
             is Either.Left -> {
                 // A host list that has restarted counts its sequence from the beginning again.
@@ -100,4 +101,9 @@
             }
         }
     }
+
+    private companion object {
+        /** A host list may answer at once that nothing changed, in place of waiting for a change. */
+        val QUIET_POLL_PAUSE = 100.milliseconds
+    }
 }
