Read from other gateways after a pause if that brought nothing

What operators would see: a gateway that reads some megabytes from another one with each of its reports (169 times in 2 s), because its table is later and cannot be taken over, as with a field that only later versions can read.

After records of which nothing was taken over, the next are read 0.5 s later at the earliest.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
@@ -4,6 +4,8 @@
  */
 package org.gypsumroute.core.gateway.records
 
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import org.gypsumroute.api.EndpointAddress
 import org.gypsumroute.api.GatewayReport
 import org.gypsumroute.api.HostId
@@ -26,7 +28,11 @@
  */
 internal fun readFromPeerIfNewer(state: GatewayState): Step<GatewayState> {
     val published = state.published
-    if (published.peerReadPending) return state.step()
+    if (published.peerReadPending ||
+        state.common.now < published.nextPeerReadAt
+    ) {
+        return state.step()
+    }
     val isFollowed = published.storeReachable && published.table != null
     val (address, member) = (if (isFollowed) null else newestMember(state))
         ?: memberWithLostTable(state)
@@ -84,10 +90,16 @@
     event: PublishedEvent.PeerRecordsRead
 ): Step<GatewayState> {
     val table = event.records.filterIsInstance<PublishedRecord.Table>().lastOrNull()
-    if (!isLater(table?.table?.version, state) || table == null) return state.step()
+    if (!isLater(table?.table?.version, state) || table == null) return readLaterFromPeers(state)
     return acceptTable(state, table).then { keepTable(it, event.items) }
 }
 
+/** After records that brought nothing, the next report would lead to the same read again. */
+private fun readLaterFromPeers(state: GatewayState): Step<GatewayState> {
+    val next = state.common.now + FRUITLESS_PEER_READ_INTERVAL
+    return state.copy(published = state.published.copy(nextPeerReadAt = next)).step()
+}
+
 internal fun reducePeerReadFailed(
     state: GatewayState,
     event: PublishedEvent.PeerReadFailed
@@ -100,3 +112,5 @@
 
 internal fun notePeerAnswer(state: GatewayState): GatewayState =
     state.copy(published = state.published.copy(peerReadPending = false))
+
+private val FRUITLESS_PEER_READ_INTERVAL: Duration = 500.milliseconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
@@ -17,8 +17,8 @@
  * records in force have the [position]. When they were taken over, at [appliedAt], the latest read
  * that had begun was [latestReadBefore]; [appliedAt] is null if there are no records.
  *
- * [peerReadPending] tells whether a read from another gateway is in progress, and [failedPeer]
- * which one could not be read last. Records of [lapsedEndpoints] were removed around an outage of
+ * [peerReadPending] tells whether a read from another gateway is in progress, the next of which may
+ * begin at [nextPeerReadAt], and [failedPeer] which one could not be read last. Records of [lapsedEndpoints] were removed around an outage of
  * the store; these endpoints are retained until [lapsedRetainedUntil], so that they can register
  * again.
  *
@@ -33,6 +33,7 @@
     val dataCentresOut: PersistentSet<DataCentreId> = persistentSetOf(),
     val reads: StoreReads = StoreReads(),
     val peerReadPending: Boolean = false,
+    val nextPeerReadAt: Moment = Moment.START,
     val failedPeer: HostId? = null,
     val lapsedEndpoints: PersistentSet<EndpointId> = persistentSetOf(),
     val lapsedRetainedUntil: Moment = Moment.START,
