--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreRestoreEndTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreRestoreEndTest.kt
@@ -13,7 +13,6 @@
 import org.gypsumroute.api.AnsweredEra
 import org.gypsumroute.api.DataCentreId
 import org.gypsumroute.api.EndpointId
-import org.gypsumroute.api.EndpointRecord
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
@@ -39,9 +38,6 @@
         .filter { acceptsNewRequests(state, plainService, it) }
         .map { it.record.id.value }.toSet()
 
-    private fun GatewayHarness.change(record: EndpointRecord) =
-        feedChanges(PublishedRecord.Endpoint(record))
-
     private fun GatewayHarness.feedFullRead(
         revision: Long,
         vararg records: PublishedRecord,
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReturnOverlapTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReturnOverlapTest.kt
@@ -38,8 +38,8 @@
     }
 
     /**
-     * The call waits in the store for a revision after 43 of era 1 while the store goes back, and
-     * another gateway reports the return first. Its answer has none of the changes 8 to 43 of era 2.
+     * The call waits for a revision after 43 while the store goes back, and another gateway reports
+     * the return first. The answer has none of the changes 8 to 43 of era 2.
      */
     @Test
     fun `a watch from before the return does not skip changes after a full read`() {
