--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PublishedState.kt
@@ -18,9 +18,9 @@
  * that had begun was [latestReadBefore]; [appliedAt] is null if there are no records.
  *
  * [peerReadPending] tells whether a read from another gateway is in progress, the next of which may
- * begin at [nextPeerReadAt], and [failedPeer] which one could not be read last. Records of [lapsedEndpoints] were removed around an outage of
- * the store; these endpoints are retained until [lapsedRetainedUntil], so that they can register
- * again.
+ * begin at [nextPeerReadAt], and [failedPeer] which one could not be read last. Records of
+ * [lapsedEndpoints] were removed around an outage of the store; these endpoints are retained until
+ * [lapsedRetainedUntil], so that they can register again.
  *
  * After the store came back from an older copy, what it lacks is written again until
  * [restoreEndsAt]. [removedEndpoints] are those whose removal such a copy may lack.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
@@ -37,8 +37,8 @@
 
 /**
  * Requests the changes after the known position, or all records if none is known, the store is in
- * a later era, these changes cannot be read, or they do not suffice. After a failure the store is not to wait for
- * changes, so that its answer shows at once that it can be reached.
+ * a later era, these changes cannot be read, or they do not suffice. After a failure the store is
+ * not to wait for changes, so that its answer shows at once that it can be reached.
  */
 internal fun startRead(state: GatewayState): Step<GatewayState> {
     val published = state.published
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReads.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReads.kt
@@ -14,11 +14,9 @@
  * [latest] is the read that was started last, and [awaited] tells whether it has not ended.
  * [failures] counts the reads that failed or were overdue since the last answer of the store, at
  * [lastAnswerAt]. The store is known to have answered some gateway at [lastHeardAt]; both are null
- * if there was no answer. [changesUnreadable] tells whether the changes after
- * the known revision could not be read, so that all records are read instead.
- *
- * [fullReadAfter] is the latest read that had begun when it became necessary to read all records, or
- * null if it is not.
+ * if there was no answer. [changesUnreadable] tells whether the changes after the known revision
+ * could not be read, so that all records are read instead. If all of them are necessary,
+ * [fullReadAfter] is the latest read that had begun when they became so, else null.
  *
  * [era] is the latest era that the store stated, [reportedEra] the latest one that another gateway
  * reported, and [eraProblems] are the problems that were logged since [era] began.
--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
@@ -103,7 +103,7 @@
     }
 
     private companion object {
-        /** A host list may answer at once that nothing changed, in place of waiting for a change. */
+        /** A host list may answer that nothing changed without waiting for a change. */
         val QUIET_POLL_PAUSE = 100.milliseconds
     }
 }
