--- a/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
+++ b/gypsumroute-process/src/main/kotlin/org/gypsumroute/process/PlatformDriver.kt
@@ -64,9 +64,14 @@
     private suspend fun watchDocuments(): Boolean =
         when (val change = configuration.watch(documentsSequence)) {
             is Either.Left -> false
-            is Either.Right -> change.value?.let { readChangedDocuments(it) } ?: true
+            is Either.Right -> change.value?.let { readChangedDocuments(it) } ?: noteQuietPoll()
         }
 
+    private suspend fun noteQuietPoll(): Boolean {
+        delay(QUIET_POLL_PAUSE)
+        return true
+    }
+
     private suspend fun readChangedDocuments(listing: ConfigurationListing?): Boolean {
         if (listing == null) return false
         val changed = listing.documents.filter { knownEtags[it.name] != it.etag }
@@ -103,7 +108,7 @@
     }
 
     private companion object {
-        /** A host list may answer that nothing changed without waiting for a change. */
+        /** A service may answer that nothing changed without waiting for a change. */
         val QUIET_POLL_PAUSE = 100.milliseconds
     }
 }
