--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/LogEvent.kt
@@ -45,7 +45,7 @@
     RECORD_OUTDATED(2026, LogLevel.INFO, "endpoint that leaves is published as ready; unused"),
     ENDPOINT_PACE_CHANGED(2027, LogLevel.INFO, "endpoint became slow, or is as expected again"),
     RECORDS_OUTDATED(2028, LogLevel.INFO, "records older than those in force were dropped"),
-    STORE_ERA_CHANGED(2029, LogLevel.WARN, "the store came back from an older copy"),
+    STORE_ERA_CHANGED(2029, LogLevel.WARN, "the store states a later era; reading all records"),
     STORE_ERA_UNUSABLE(2030, LogLevel.WARN, "an answer of the store states no usable era"),
     RESTORE_STARTED(2031, LogLevel.WARN, "what an older copy of the store lacks stays in force"),
     RESTORE_ENDED(2032, LogLevel.INFO, "the records of the store are complete again"),
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/exchange/ExchangeReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/exchange/ExchangeReducer.kt
@@ -35,6 +35,7 @@
 import org.gypsumroute.core.gateway.records.noteReportedEra
 import org.gypsumroute.core.gateway.records.noteStoreHeard
 import org.gypsumroute.core.gateway.records.readFromPeerIfNewer
+import org.gypsumroute.core.gateway.records.withoutOldRemovals
 import org.gypsumroute.core.gateway.shares.refreshShares
 import org.gypsumroute.core.logEffect
 import org.gypsumroute.core.step
@@ -123,7 +124,7 @@
 internal fun reducePeriodicReport(state: GatewayState): Step<GatewayState> =
     removeSilentMembers(state)
         .then { it.copy(crashes = it.crashes.withoutExpired(it.common.now)).step() }
-        .then { withoutOldPauses(withoutOldMarks(it)).step() }
+        .then { withoutOldPauses(withoutOldMarks(withoutOldRemovals(it))).step() }
         .then { sendReport(it) }
         .then { it.step(RuntimeEffect.SetTimer(TimerId.ReportBeat, REPORT_INTERVAL)) }
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/RecordsKept.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/RecordsKept.kt
@@ -20,7 +20,7 @@
 ): Step<GatewayState> = keep(
     state,
     items,
-    if (holdsLaterTable(state, records)) KeptRecords.ALL_BUT_TABLE else KeptRecords.ALL
+    if (lacksTableInForce(state, records)) KeptRecords.ALL_BUT_TABLE else KeptRecords.ALL
 )
 
 /** Keeps the records of changes. */
@@ -30,7 +30,7 @@
 ): Step<GatewayState> = keep(
     state,
     event.items,
-    if (holdsLaterTable(state, event.changes)) {
+    if (lacksTableInForce(state, event.changes)) {
         KeptRecords.CHANGED_BUT_TABLE
     } else {
         KeptRecords.CHANGED
@@ -41,8 +41,8 @@
 internal fun keepTable(state: GatewayState, items: ReadItems): Step<GatewayState> =
     keep(state, items, KeptRecords.TABLE)
 
-/** Whether the table in force is not the one among these records. */
-private fun holdsLaterTable(state: GatewayState, records: List<PublishedRecord>): Boolean {
+/** Whether the table in force is not among these records. */
+private fun lacksTableInForce(state: GatewayState, records: List<PublishedRecord>): Boolean {
     val listed = records.filterIsInstance<PublishedRecord.Table>().lastOrNull()
     return state.published.table?.version != listed?.table?.version
 }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
@@ -59,7 +59,7 @@
     val next = state.copy(
         published = published.copy(lapsedEndpoints = published.lapsedEndpoints.remove(listed.id))
     )
-    return if (isUnusable(state, listed)) {
+    return if (isLeavingOrGone(state, listed)) {
         next.step(endpointLog(LogEvent.RECORD_OUTDATED, listed))
     } else {
         next.step()
@@ -82,7 +82,7 @@
         (known.startedAt == listed.startedAt && known.sequence < listed.sequence)
 
 /** Whether the record names an endpoint to use that is known to leave or to be gone. */
-private fun isUnusable(state: GatewayState, listed: EndpointRecord): Boolean =
+private fun isLeavingOrGone(state: GatewayState, listed: EndpointRecord): Boolean =
     !listed.leaving && state.endpoints[listed.id]?.record?.leaving != false
 
 /** Takes the store's records for complete from now on, and reads all of them again. */
@@ -98,11 +98,17 @@
     state: GatewayState,
     record: EndpointRecord
 ): PersistentMap<EndpointId, RemovedEndpoint> {
-    val now = state.common.now
+    val removed = RemovedEndpoint(record, state.common.now)
+    return state.published.removedEndpoints.put(record.id, removed)
+}
+
+/** Forgets the endpoints that were removed so long ago that no copy of the store lists them. */
+internal fun withoutOldRemovals(state: GatewayState): GatewayState {
     val removed = state.published.removedEndpoints
-    val outdated = removed.filterValues { now - it.removedAt > REMOVAL_RETENTION }.keys
-    return removed.builder().apply { keys.removeAll(outdated) }
-        .build().put(record.id, RemovedEndpoint(record, now))
+    val old = removed.filterValues { state.common.now - it.removedAt > REMOVAL_RETENTION }.keys
+    if (old.isEmpty()) return state
+    val left = removed.builder().apply { old.forEach { remove(it) } }.build()
+    return state.copy(published = state.published.copy(removedEndpoints = left))
 }
 
 /** Remembers an endpoint for longer whose record is removed once more. */
@@ -119,4 +125,5 @@
 private fun restoreTime(state: GatewayState): Duration =
     state.bounds.endpointGracePeriod + state.bounds.endpointLapseTime * 2
 
+/** A copy is some seconds old when the store goes away, and the store is away for a moment. */
 private val REMOVAL_RETENTION: Duration = 2.minutes
