--- a/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
+++ b/gypsumroute-clients/src/main/kotlin/org/gypsumroute/clients/SingleAttemptHttpClient.kt
@@ -33,6 +33,7 @@
 import okhttp3.Response
 import okio.Buffer
 import okio.BufferedSink
+import org.gypsumroute.api.HttpStatuses
 
 /** A response with its complete body. */
 class HttpResponse(val status: Int, val body: ByteArray, private val headers: Headers) {
@@ -152,11 +153,11 @@
 }
 
 /** Whether a response with this status is a success, which is any 2xx. */
-internal fun isSuccessStatus(status: Int): Boolean = status in SUCCESS_STATUSES
+internal fun isSuccessStatus(status: Int): Boolean = status in HttpStatuses.SUCCESS
 
 /** This response if its status is one that HTTP knows for the answer to a request. */
 private fun finalResponse(response: Response): Either<ClientFailure, Response> =
-    if (response.code in FINAL_STATUSES) {
+    if (response.code in HttpStatuses.FINAL) {
         response.right()
     } else {
         ClientFailure.Malformed("status ${response.code}").left()
@@ -244,5 +245,3 @@
 
 /** Progress is reported after each part of a body of this size. */
 private const val PROGRESS_BYTES = 64L * 1024
-private val SUCCESS_STATUSES = 200..299
-private val FINAL_STATUSES = 200..599
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/AttemptReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/AttemptReducer.kt
@@ -9,6 +9,7 @@
 import org.gypsumroute.api.EndpointId
 import org.gypsumroute.api.ErrorKind
 import org.gypsumroute.api.ForwardEvent
+import org.gypsumroute.api.HttpStatuses
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Moment
 import org.gypsumroute.api.Repetition
@@ -95,7 +96,7 @@
     record: ForwardRecord,
     outcome: AttemptOutcome.Completed
 ): Step<GatewayState> {
-    val isAnswer = outcome.status in SUCCESS_STATUSES &&
+    val isAnswer = outcome.status in HttpStatuses.SUCCESS &&
         (!record.route.streaming || record.firstEventAt != null)
     return if (isAnswer) noteAnswered(state, record) else state.step()
 }
@@ -259,7 +260,5 @@
         "faulty" to (outcome as? AttemptOutcome.NotRun)?.faultyAddress
     )
 
-private val SUCCESS_STATUSES = 200..299
-
 /** Least time until the deadline with which a request is sent again. */
 private val MIN_ATTEMPT_TIME: Duration = 20.milliseconds
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/PaceObservation.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/PaceObservation.kt
@@ -11,6 +11,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import org.gypsumroute.api.AttemptOutcome
+import org.gypsumroute.api.HttpStatuses
 import org.gypsumroute.api.LogEvent
 import org.gypsumroute.api.Step
 import org.gypsumroute.core.GatewayState
@@ -70,7 +71,7 @@
     attempt: Attempt,
     outcome: AttemptOutcome
 ): Double? {
-    if (outcome !is AttemptOutcome.Completed || outcome.status !in SUCCESS_STATUSES) return null
+    if (outcome !is AttemptOutcome.Completed || outcome.status !in HttpStatuses.SUCCESS) return null
     val isEngine = state.published.table?.services?.get(record.service)?.engine != null
     return if (isEngine) {
         streamRatio(attempt, outcome)
@@ -94,7 +95,5 @@
 private infix fun Duration.over(expected: Duration): Double =
     coerceAtLeast(SHORTEST_TIME) / expected.coerceAtLeast(SHORTEST_TIME)
 
-private val SUCCESS_STATUSES = 200..299
-
 /** Resolution of the clock. */
 private val SHORTEST_TIME: Duration = 1.milliseconds
