Work out the length of a log event's texts once

The bounded log appender counted the characters of an event when it queued the event and again when it took it from the queue. The queue now keeps the count with the event.

--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BoundedLogAppender.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BoundedLogAppender.kt
@@ -28,7 +28,7 @@
     private val maxLinesPerSecond: Int = DEFAULT_MAX_LINES_PER_SECOND,
     private val maxQueuedCharacters: Long = DEFAULT_MAX_QUEUED_CHARACTERS
 ) : AppenderBase<ILoggingEvent>() {
-    private val queue = ArrayBlockingQueue<ILoggingEvent>(QUEUE_CAPACITY_LINES)
+    private val queue = ArrayBlockingQueue<QueuedEvent>(QUEUE_CAPACITY_LINES)
     private val queuedCharacters = AtomicLong()
     private val dropped = AtomicLong()
     private val writeScheduled = AtomicBoolean()
@@ -59,7 +59,7 @@
     private fun enqueue(event: ILoggingEvent): Boolean {
         val characters = charactersOf(event)
         if (queuedCharacters.get() + characters > maxQueuedCharacters) return false
-        val queued = queue.offer(event)
+        val queued = queue.offer(QueuedEvent(event, characters))
         if (queued) queuedCharacters.addAndGet(characters)
         return queued
     }
@@ -87,9 +87,9 @@
         writeScheduled.set(false)
         val lines = StringBuilder()
         while (true) {
-            val event = queue.poll() ?: break
-            queuedCharacters.addAndGet(-charactersOf(event))
-            lines.append(formatLine(event))
+            val queued = queue.poll() ?: break
+            queuedCharacters.addAndGet(-queued.characters)
+            lines.append(formatLine(queued.event))
             if (lines.length >= BATCH_CHARACTERS) write(lines)
         }
         val droppedCount = dropped.getAndSet(0)
@@ -108,6 +108,9 @@
     private fun charactersOf(event: ILoggingEvent): Long = event.message.orEmpty().length +
         event.keyValuePairs.orEmpty().sumOf { (it.value as? String)?.length?.toLong() ?: 0L }
 
+    /** An event in the queue, where it counts as [characters]. */
+    private class QueuedEvent(val event: ILoggingEvent, val characters: Long)
+
     private companion object {
         const val DEFAULT_MAX_LINES_PER_SECOND = 500
         const val QUEUE_CAPACITY_LINES = 4096
