Share what admission and shares work out twice

The ends of admit and decideAgain were alike: both now find the room of the candidates in one function and let the policy decide in another. isExhausted and knownRoom differ in their degrees and stay apart; that an endpoint is reachable, and how much of its backlog can still be unread, stood in both (the latter also in the input of the placement) and is now said once. AdmissionInput no longer holds the organisation's excess: it was worked out for each decision and no policy read it. The order of waiting requests still uses it.

Left as they are: checkGeneration, checkCall and checkActionKeyWanted, and the branches of reduceCaller, which only pass different values to the same functions.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/admission/AdmissionPolicy.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/admission/AdmissionPolicy.kt
@@ -18,8 +18,7 @@
  * until the first byte is late, [remaining] the time left until the request fails, and
  * [startWithin] the time left until a request that waits is sent in any case, null before it waits.
  * An [isUrgent] request has an objective too short for a wait, compared with the others of its
- * service. [organisationExcess] is 0 while the organisation stays within its share. [entropy] is
- * random and spreads the reviews of several gateways.
+ * service. [entropy] is random and spreads the reviews of several gateways.
  */
 data class AdmissionInput(
     val choice: ForwardChoice,
@@ -30,7 +29,6 @@
     val startWithin: Duration?,
     val isUrgent: Boolean,
     val waitingRequests: Int,
-    val organisationExcess: Double,
     val entropy: Long
 )
 
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/admission/AdmissionReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/admission/AdmissionReducer.kt
@@ -34,15 +34,13 @@
     input: ForwardPlacementInput,
     choice: ForwardChoice
 ): Step<GatewayState> {
-    val profile = input.profile ?: return reserveOrSend(state, record, choice)
-    val room = roomOf(input.candidates, profile, urgentObjective(state, record.service))
+    val room = candidateRoom(state, record, input) ?: return reserveOrSend(state, record, choice)
     val known = if (room.isShortWith(readersOf(choice))) {
         state.onAdmission { copy(refusals = refusals.withArrival(record, state.common.now)) }
     } else {
         state
     }
-    val decision = known.policies.admission(admissionInput(known, record, choice, room))
-    return apply(known, record, choice, room, decision)
+    return decide(known, record, choice, room)
 }
 
 /** Decides on a waiting request, with a new placement. */
@@ -52,10 +50,35 @@
     input: ForwardPlacementInput,
     choice: ForwardChoice
 ): Step<GatewayState> {
-    val profile = input.profile ?: return sendWaiting(state, record, choice)
-    val room = roomOf(input.candidates, profile, urgentObjective(state, record.service))
-    val decision = state.policies.admission(admissionInput(state, record, choice, room))
-    return apply(state, record, choice, room, decision)
+    val room = candidateRoom(state, record, input) ?: return sendWaiting(state, record, choice)
+    return decide(state, record, choice, room)
+}
+
+/** The room at the candidates; null for a service without engines. */
+private fun candidateRoom(
+    state: GatewayState,
+    record: ForwardRecord,
+    input: ForwardPlacementInput
+): ServiceRoom? = input.profile?.let { profile ->
+    roomOf(input.candidates, profile, urgentObjective(state, record.service))
+}
+
+/** Lets the policy decide on the request, and does what it decides. */
+private fun decide(
+    state: GatewayState,
+    record: ForwardRecord,
+    choice: ForwardChoice,
+    room: ServiceRoom
+): Step<GatewayState> {
+    val input = admissionInput(state, record, choice, room)
+    return when (val decision = state.policies.admission(input)) {
+        is AdmissionDecision.SendNow -> sendWaiting(state, record, choice)
+
+        is AdmissionDecision.Wait -> wait(state, record, choice, room, decision)
+
+        is AdmissionDecision.Refuse ->
+            refuseUnderShortage(state, record, decision.kind, decision.detail)
+    }
 }
 
 internal fun admissionInput(
@@ -74,7 +97,6 @@
         startWithin = record.wait?.let { it.latestStart - now },
         isUrgent = isUrgent(state, record),
         waitingRequests = state.admission.waiting.size,
-        organisationExcess = state.policies.organisationExcess(state, record),
         entropy = state.common.entropy
     )
 }
@@ -88,21 +110,6 @@
     return model.decodeTime(Tokens(record.size.output), pass)
 }
 
-private fun apply(
-    state: GatewayState,
-    record: ForwardRecord,
-    choice: ForwardChoice,
-    room: ServiceRoom,
-    decision: AdmissionDecision
-): Step<GatewayState> = when (decision) {
-    is AdmissionDecision.SendNow -> sendWaiting(state, record, choice)
-
-    is AdmissionDecision.Wait -> wait(state, record, choice, room, decision)
-
-    is AdmissionDecision.Refuse ->
-        refuseUnderShortage(state, record, decision.kind, decision.detail)
-}
-
 /** Sends the request, which may have waited. */
 private fun sendWaiting(
     state: GatewayState,
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/admission/ServiceRoom.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/admission/ServiceRoom.kt
@@ -10,8 +10,8 @@
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.gateway.attempts.knownLoad
 import org.gypsumroute.core.gateway.endpoints.EndpointState
-import org.gypsumroute.core.gateway.endpoints.acceptsNewRequests
 import org.gypsumroute.core.gateway.endpoints.isPaused
+import org.gypsumroute.core.gateway.endpoints.isReachable
 import org.gypsumroute.core.gateway.exchange.recentPeerReports
 import org.gypsumroute.core.gateway.placement.EngineModel
 import org.gypsumroute.core.gateway.placement.ForwardCandidate
@@ -63,7 +63,7 @@
     for (endpoint in state.endpoints.values) {
         if (!mayGetWork(state, service, endpoint)) continue
         val load = knownLoad(endpoint, others)
-        val backlog = endpoint.backlog.advancedTo(state.common.now).cappedAt(load.pendingPrefill)
+        val backlog = endpoint.backlogUnder(load, state.common.now)
         tally.add(backlog.total, load.openRequests, endpoint.record.slots)
     }
     return tally.room()
@@ -84,8 +84,7 @@
 
 /** An engine that cannot be reached, or is to get nothing new, has no room although it is idle. */
 private fun mayGetWork(state: GatewayState, service: ServiceId, endpoint: EndpointState): Boolean =
-    acceptsNewRequests(state, service, endpoint) && !isPaused(state, endpoint) &&
-        endpoint.health.suspendedUntil <= state.common.now
+    isReachable(state, service, endpoint) && !isPaused(state, endpoint)
 
 /** Longest backlog behind which an urgent prompt is still read in time. */
 private fun backlogLimit(profile: EngineProfile, urgentObjective: Duration): Duration =
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/SendReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/attempts/SendReducer.kt
@@ -55,7 +55,7 @@
             ForwardCandidate(
                 endpoint.record,
                 load.copy(openRequests = load.openRequests + unseen),
-                endpoint.backlog.advancedTo(now).cappedAt(load.pendingPrefill),
+                endpoint.backlogUnder(load, now),
                 endpoint.health.failureRate(now),
                 paces?.of(endpoint) ?: AS_EXPECTED
             )
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/Eligibility.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/Eligibility.kt
@@ -35,6 +35,14 @@
 ): Boolean = endpoint.record.service == service && !isLeaving(state, endpoint) &&
     !endpoint.misdirected && endpoint.record.dataCentre !in state.published.dataCentresOut
 
+/** Whether the endpoint is meant to get new requests of the service and is not suspended. */
+internal fun isReachable(
+    state: GatewayState,
+    service: ServiceId,
+    endpoint: EndpointState
+): Boolean = acceptsNewRequests(state, service, endpoint) &&
+    endpoint.health.suspendedUntil <= state.common.now
+
 /**
  * Whether an earlier choice is still valid: records may have changed, or endpoints asked for a
  * pause, since it was made.
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/EndpointState.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/endpoints/EndpointState.kt
@@ -58,6 +58,10 @@
         )
     }
 
+    /** The unread prompts at [now], of which no more are left than [load] has pending. */
+    fun backlogUnder(load: EngineLoad, now: Moment): Backlog =
+        backlog.advancedTo(now).cappedAt(load.pendingPrefill)
+
     /** The load that this gateway itself puts on the endpoint. */
     fun ownLoad(): EngineLoad {
         val running = work.values.filterNot { it.isHelper }
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/shares/Exhaustion.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/shares/Exhaustion.kt
@@ -11,8 +11,8 @@
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.gateway.attempts.knownLoad
 import org.gypsumroute.core.gateway.endpoints.EndpointState
-import org.gypsumroute.core.gateway.endpoints.acceptsNewRequests
 import org.gypsumroute.core.gateway.endpoints.isPaused
+import org.gypsumroute.core.gateway.endpoints.isReachable
 import org.gypsumroute.core.gateway.exchange.recentPeerReports
 
 /**
@@ -32,9 +32,7 @@
 
 /** The engines of a service that are meant to get new requests and are not known to be down. */
 internal fun reachableEngines(state: GatewayState, service: ServiceId): List<EndpointState> =
-    state.endpoints.values.filter {
-        acceptsNewRequests(state, service, it) && it.health.suspendedUntil <= state.common.now
-    }
+    state.endpoints.values.filter { isReachable(state, service, it) }
 
 /** Whether a new prompt would find no slot here, or wait for longer than [maxWait]. */
 private fun isBusy(
@@ -48,7 +46,7 @@
     val now = state.common.now
     val load = knownLoad(engine, others)
     val openRequests = load.openRequests + engine.unseenLoad.requestsAt(now)
-    val backlog = engine.backlog.advancedTo(now).cappedAt(load.pendingPrefill)
+    val backlog = engine.backlogUnder(load, now)
     return openRequests >= profile.slots || backlog.total > maxWait
 }
 
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/admission/AdmissionPoliciesTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/admission/AdmissionPoliciesTest.kt
@@ -41,7 +41,6 @@
         startWithin = startWithin,
         isUrgent = isUrgent,
         waitingRequests = waitingRequests,
-        organisationExcess = 0.0,
         entropy = entropy
     )
 
