Take over that an endpoint leaves, whatever the sequence of its record

What callers would see: requests at an endpoint that said that it leaves between the store's return and the first full read of a gateway. Cause: in a restore a listed record with the start and sequence that are known counted as older, also if it is the first to say that the endpoint leaves; a store need not raise the sequence with it.

A start that says that it leaves does not unsay it, so that its record counts in any order. The case of StoreRestoreTest fails without the change.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreRestore.kt
@@ -77,9 +77,11 @@
     }
 }
 
-private fun isNewer(listed: EndpointRecord, known: EndpointRecord): Boolean =
-    known.startedAt.isBefore(listed.startedAt) ||
-        (known.startedAt == listed.startedAt && known.sequence < listed.sequence)
+/** A start that says that it leaves does not unsay it, so that counts in any order. */
+private fun isNewer(listed: EndpointRecord, known: EndpointRecord): Boolean {
+    if (known.startedAt != listed.startedAt) return known.startedAt.isBefore(listed.startedAt)
+    return known.sequence < listed.sequence || (listed.leaving && !known.leaving)
+}
 
 /** Whether the record names an endpoint to use that is known to leave or to be gone. */
 private fun isLeavingOrGone(state: GatewayState, listed: EndpointRecord): Boolean =
--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreRestoreTest.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreRestoreTest.kt
@@ -80,6 +80,17 @@
         }
     }
 
+    /** Its record may be written anew without a change of the sequence, before the full read. */
+    @Test
+    fun `an endpoint that the first full read lists as leaving gets nothing`() {
+        for (start in listOf(1L, null)) {
+            val harness = readyHarness(endpointOf("e1", startStamp = start), endpointOf("e2"))
+            val leaving = endpointOf("e1", leaving = true, startStamp = start)
+            harness.comeBack(PublishedRecord.Endpoint(leaving), listed("e2"))
+            assertEquals(setOf("e2"), harness.usable(), "start $start")
+        }
+    }
+
     /** Guards against requests to an endpoint that is gone and whose address others may have. */
     @Test
     fun `an endpoint that was removed gets nothing although the copy lists it as ready`() {
