Free the id of a refused request before its caller has the answer

Callers that repeated the id of a request at once, after the front end had refused it as malformed, could get request_duplicate.

A request that the front end itself refuses needs nothing more of the exchange than its answer. Its end is therefore reported and its id freed before the answer is written. An exchange is closed once: what follows on the same connection no longer reports an end for an id that may belong to another request by then. Answers of admitted requests are as before.

--- a/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/CallerEvent.kt
+++ b/gypsumroute-api/src/main/kotlin/org/gypsumroute/api/CallerEvent.kt
@@ -49,6 +49,9 @@
     /** The caller's connection closed before the answer was complete. */
     data class Left(val request: RequestId) : CallerEvent
 
-    /** The whole answer or error was written to the caller; its buffers are no longer needed. */
+    /**
+     * The whole answer or error was written to the caller, or the front end refused the request
+     * itself and is about to tell the caller; its buffers are no longer needed.
+     */
     data class AnswerTaken(val request: RequestId) : CallerEvent
 }
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/Exchange.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/Exchange.kt
@@ -8,13 +8,21 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
 import org.gypsumroute.api.ActionKey
+import org.gypsumroute.api.CallerEvent
 import org.gypsumroute.api.Failure
 import org.gypsumroute.api.LeaseId
 import org.gypsumroute.api.RequestId
 import org.gypsumroute.runtime.EventSink
 
-/** What the traffic threads share about one request of a caller: body, answer and outcome. */
-internal class Exchange(val request: RequestId, events: EventSink) {
+/**
+ * What the traffic threads share about one request of a caller: body, answer and outcome. [remove]
+ * frees the id of the request.
+ */
+internal class Exchange(
+    val request: RequestId,
+    private val events: EventSink,
+    private val remove: (Exchange) -> Unit
+) {
     val answer = AnswerBuffer(request, events)
 
     /** Completes when the reducer lets the body be read, or with the failure if it refuses. */
@@ -59,9 +67,16 @@
         body = NO_BYTES
     }
 
-    /** Marks the exchange as closed and cancels the running upload. */
-    fun finish() {
+    /**
+     * Reports [end], frees the id of the request and cancels the running upload. Called by the
+     * front end once it needs nothing more of the exchange. Only the first call has an effect, as
+     * the id may belong to another request afterwards.
+     */
+    fun close(end: CallerEvent) {
+        if (finished.isCompleted) return
+        events(end)
         finished.complete(Unit)
+        remove(this)
         upload.getAndSet(null)?.cancel()
     }
 
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/Exchanges.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/Exchanges.kt
@@ -36,14 +36,12 @@
 
     /** Registers a new request; null if another one with this id is in progress. */
     fun open(request: RequestId): Exchange? {
-        val exchange = Exchange(request, events)
+        val exchange = Exchange(request, events, ::remove)
         return if (byRequest.putIfAbsent(request, exchange) == null) exchange else null
     }
 
-    /** Removes and frees an exchange that the front end no longer needs. */
-    fun close(exchange: Exchange) {
+    private fun remove(exchange: Exchange) {
         byRequest.remove(exchange.request, exchange)
-        exchange.finish()
         exchange.leases.forEach { byLease.remove(it) }
     }
 
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallersHttp.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/CallersHttp.kt
@@ -162,7 +162,8 @@
     ) {
         val request = exchange.request
         exchange.writer = currentCoroutineContext().job
-        var responseSent = false
+        // Any exception means that the response did not reach the caller.
+        var end: CallerEvent = CallerEvent.Left(request)
         try {
             when (val headers = readCallerHeaders(call)) {
                 is Either.Left -> {
@@ -178,14 +179,11 @@
 
                 is Either.Right -> handler(exchange, headers.value)
             }
-            responseSent = true
-            events(CallerEvent.AnswerTaken(request))
+            end = CallerEvent.AnswerTaken(request)
         } finally {
             // Once the end of a request is reported, another one may take its place.
             place.close()
-            // Any exception means that the response did not reach the caller.
-            if (!responseSent) events(CallerEvent.Left(request))
-            exchanges.close(exchange)
+            exchange.close(end)
         }
     }
 
--- a/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/Refusals.kt
+++ b/gypsumroute-entry/src/main/kotlin/org/gypsumroute/entry/http/Refusals.kt
@@ -9,7 +9,8 @@
 
 /**
  * Refuses a request that the front end itself found invalid, and reports this to the reducer. No
- * endpoint has received any of the request.
+ * endpoint has received any of the request. The id is free before the caller has the response,
+ * because the caller may send a corrected request with the same id at once.
  */
 internal suspend fun rejectRequest(
     call: ApplicationCall,
@@ -19,6 +20,7 @@
     detail: String
 ) {
     events(CallerEvent.Rejected(exchange.request, kind))
+    exchange.close(CallerEvent.AnswerTaken(exchange.request))
     respondError(call, Failure(kind, detail), exchange.request)
 }
 
