Take the end of a restore from another gateway if the store turns this one away

What callers would see: a data centre stays out, or a listed endpoint unused, at a gateway that the store turns away, from the end of a restore until the next change. Cause: it asked another gateway only for records with a later position, but at the end of a restore all records count anew, at the same position too.

While all records are necessary, those of another gateway at the same position are taken over as well.

--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/PeerRecordsReducer.kt
@@ -14,6 +14,7 @@
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
 import org.gypsumroute.api.Step
+import org.gypsumroute.api.StorePosition
 import org.gypsumroute.api.TableVersion
 import org.gypsumroute.core.GatewayState
 import org.gypsumroute.core.gateway.exchange.Member
@@ -41,11 +42,21 @@
         .step(PublishedEffect.ReadFromPeer(member.report.host, address))
 }
 
-/** The gateway with the latest of the records that are newer than this gateway's. */
+/** The gateway with the latest of the records that this gateway would take over. */
 private fun newestMember(state: GatewayState): Map.Entry<EndpointAddress, Member>? =
-    reportingMembers(state) { it.position > state.published.position }
+    reportingMembers(state) { isTakenOver(state, it.position) }
         .maxByOrNull { it.value.report.position }
 
+/**
+ * Whether all records as of a position would be taken over: if they are newer, or at the end of a
+ * restore, when all records are necessary, as new as those in force.
+ */
+private fun isTakenOver(state: GatewayState, position: StorePosition): Boolean {
+    val published = state.published
+    val isAsNew = published.reads.fullReadAfter != null && position == published.position
+    return position > published.position || isAsNew
+}
+
 /**
  * The gateway with the latest table that is later than this gateway's although its records are not.
  * Tables only get later as the store goes on, so the store came back from a copy without that one.
@@ -79,9 +90,10 @@
     event: PublishedEvent.PeerRecordsRead
 ): Step<GatewayState> {
     val noted = withFailedPeer(notePeerAnswer(state), null)
-    if (event.position <= noted.published.position) return acceptLostTable(noted, event)
+    if (!isTakenOver(noted, event.position)) return acceptLostTable(noted, event)
     return learnEra(noted, event.position.era, event.peer.value)
         .then { applySnapshot(it, event.peer.value, event.position, event.records, event.items) }
+        .then { withAllRecords(it).step() }
 }
 
 /** Accepts the table among records that are otherwise no newer, if it is later. */
--- a/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
+++ b/gypsumroute-core/src/main/kotlin/org/gypsumroute/core/gateway/records/StoreReadReducer.kt
@@ -108,13 +108,13 @@
 /** Notes that a full read was taken over. */
 internal fun withFullReadTaken(state: GatewayState, read: ReadId): GatewayState {
     val after = state.published.reads.fullReadAfter
-    return if (after == null || read <= after) {
-        state
-    } else {
-        withReads(state) { it.copy(fullReadAfter = null) }
-    }
+    return if (after == null || read <= after) state else withAllRecords(state)
 }
 
+/** Notes that all records were taken over. */
+internal fun withAllRecords(state: GatewayState): GatewayState =
+    withReads(state) { it.copy(fullReadAfter = null) }
+
 /** Notes that records were read, so that the changes after them are asked for next. */
 internal fun withReadableChanges(state: GatewayState): GatewayState =
     withReads(state) { it.copy(changesUnreadable = false) }
