--- a/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReturnRun.kt
+++ b/gypsumroute-core/src/test/kotlin/org/gypsumroute/core/gateway/records/StoreReturnRun.kt
@@ -7,9 +7,7 @@
 
 import kotlin.random.Random
 import org.gypsumroute.api.Effect
-import org.gypsumroute.api.EndpointRecord
 import org.gypsumroute.api.ExchangeEffect
-import org.gypsumroute.api.ExchangeEvent
 import org.gypsumroute.api.PublishedEffect
 import org.gypsumroute.api.PublishedEvent
 import org.gypsumroute.api.PublishedRecord
@@ -19,6 +17,7 @@
 import org.gypsumroute.core.gateway.endpoints.isLeaving
 import org.gypsumroute.core.gateway.simulation.SimulatedClock
 
+/** A run of [gatewayCount] gateways; a promise that does not hold ends it with the trace. */
 internal class StoreReturnRun(private val seed: Int, private val gatewayCount: Int) {
     private val random = Random(seed * 100 + gatewayCount)
     private val clock = SimulatedClock()
@@ -32,6 +31,8 @@
             List(minOf(2, gatewayCount)) { StoreReturnMember.addressOf(it) }
         )
     }
+    private val exchange =
+        GatewayExchange(clock, random, members, calls::hop, ::feed, ::execute)
     private val trace = ArrayDeque<String>()
 
     /** Time of the last write or trouble. */
@@ -239,11 +240,11 @@
                     clock.after(calls.hop()) { calls.watch(member, process, effect) }
                 }
 
-                is PublishedEffect.ReadFromPeer -> readFromPeer(member, process, effect)
+                is PublishedEffect.ReadFromPeer -> exchange.readFromPeer(member, process, effect)
 
                 is PublishedEffect.KeepRecords -> process.keep(effect)
 
-                is ExchangeEffect.SendReport -> sendReport(member, process, effect)
+                is ExchangeEffect.SendReport -> exchange.sendReport(member, process, effect)
 
                 is RuntimeEffect.Log -> note(
                     "${process.name} ${effect.event} " +
@@ -270,47 +271,6 @@
         execute(member, process, effects)
     }
 
-    private fun readFromPeer(
-        member: StoreReturnMember,
-        process: StoreReturnMember.Process,
-        effect: PublishedEffect.ReadFromPeer
-    ) {
-        clock.after(calls.hop()) {
-            val peer = members.first { it.address == effect.address }.process
-            val event = if (peer == null || random.nextInt(20) == 0) {
-                process.peerReadFailed = true
-                PublishedEvent.PeerReadFailed(effect.peer, "connect timeout")
-            } else {
-                PublishedEvent.PeerRecordsRead(
-                    effect.peer,
-                    peer.servedPosition,
-                    peer.served.values.toList(),
-                    ItemsRead(peer.served)
-                )
-            }
-            clock.after(deliveryTime()) { feed(member, process, event) }
-        }
-    }
-
-    private fun sendReport(
-        member: StoreReturnMember,
-        sender: StoreReturnMember.Process,
-        effect: ExchangeEffect.SendReport
-    ) {
-        for (target in members.filter { it.address in effect.to && it !== member }) {
-            if (random.nextInt(10) == 0) continue
-            clock.after(deliveryTime()) {
-                target.process?.let { process ->
-                    val event = ExchangeEvent.ReportReceived(member.address, effect.report)
-                    if (clock.now < process.startedAt + CHANGE_MS / 2) {
-                        effect.report.tableVersion?.let { process.reportedVersions[sender] = it }
-                    }
-                    execute(target, process, process.feed(event))
-                }
-            }
-        }
-    }
-
     /** Every gateway that reaches the store holds what a full read of it holds. */
     private fun checkRecords(member: StoreReturnMember) {
         val process = member.process ?: return
@@ -348,10 +308,6 @@
         }
     }
 
-    /** Delay between gateways, which is sometimes long. */
-    private fun deliveryTime(): Double =
-        if (random.nextInt(20) == 0) random.nextDouble(50.0, MAX_DELIVERY_MS) else calls.hop()
-
     private fun note(text: String) {
         trace += "%9.0f %s".format(clock.now, text)
         if (trace.size > MAX_TRACE) trace.removeFirst()
@@ -368,35 +324,9 @@
         const val LATEST_END_MS = 90_000.0
         const val CHANGE_MS = 2000.0
         const val OLDEST_COPY_MS = 8000.0
-        const val MAX_DELIVERY_MS = 800.0
         const val MAX_TRACE = 3000
 
         /** Two seconds, and the time of a restore: the grace period and twice the lapse time. */
         const val QUIET_MS = 2000.0 + 2300 + 2 * 2400
     }
 }
-
-private fun textOf(record: EndpointRecord): String =
-    "${record.id}@${record.startedAt?.milliseconds}.${record.sequence}" +
-        (if (record.leaving) " leaving" else "")
-
-private fun textOf(record: PublishedRecord?): String = when (record) {
-    is PublishedRecord.Table -> "version ${record.table.version}"
-    is PublishedRecord.Endpoint -> textOf(record.record)
-    null -> "deleted"
-    else -> record.toString()
-}
-
-private fun textOf(event: PublishedEvent): String = when (event) {
-    is PublishedEvent.SnapshotRead ->
-        "full read ${event.read} at ${event.revision} ${event.era} ${event.records.map(::textOf)}"
-
-    is PublishedEvent.ChangesRead ->
-        "changes ${event.read} after ${event.after} to ${event.revision} ${event.era} " +
-            "${event.changes.map(::textOf)}"
-
-    is PublishedEvent.PeerRecordsRead ->
-        "records of ${event.peer} at ${event.position} ${event.records.map(::textOf)}"
-
-    else -> event.toString()
-}
