Write nothing to the log's output when no line waits

Cause: if the scheduled write comes just before the stop, the write of the stop has no lines and was made all the same, a call to the system for nothing.

--- a/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BoundedLogAppender.kt
+++ b/gypsumroute-runtime/src/main/kotlin/org/gypsumroute/runtime/BoundedLogAppender.kt
@@ -98,8 +98,9 @@
         output.flush()
     }
 
-    /** Writes and empties [lines]. */
+    /** Writes and empties [lines], if there are any. */
     private fun write(lines: StringBuilder) {
+        if (lines.isEmpty()) return
         output.write(lines.toString().encodeToByteArray())
         lines.setLength(0)
     }
